--- /dev/null
+++ b/internal/fence/token_test.go
@@ -0,0 +1,52 @@
+package fence
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func drawToken(t *rapid.T, label string) Token {
+	small := rapid.Uint64Range(0, 3)
+	return Token{
+		Generation: small.Draw(t, label+" generation"),
+		Term:       small.Draw(t, label+" term"),
+		Seq:        small.Draw(t, label+" seq"),
+	}
+}
+
+// Guards against a token that changes on its way through a header.
+func TestParseReadsString(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		token := drawToken(t, "token")
+		parsed, err := Parse(token.String())
+		if err != nil || parsed != token {
+			t.Fatalf("Parse(%q) = %v, %v", token.String(), parsed, err)
+		}
+	})
+}
+
+// Guards against two tokens that each count as newer than the other.
+func TestCompareIsTotalOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawToken(t, "a"), drawToken(t, "b"), drawToken(t, "c")
+		if a.Compare(b) != -b.Compare(a) {
+			t.Fatalf("order of %v and %v depends on the side", a, b)
+		}
+		if a.Less(b) && b.Less(c) && !a.Less(c) {
+			t.Fatalf("order is not transitive: %v %v %v", a, b, c)
+		}
+		if (a.Compare(b) == 0) != (a == b) {
+			t.Fatalf("%v and %v compare as equal but differ", a, b)
+		}
+	})
+}
+
+// Guards against malformed headers that are taken for tokens.
+func TestParseRefusesMalformedText(t *testing.T) {
+	for _, text := range []string{"", "1", "1.2", "1.2.3.4", "1.-2.3", "a.b.c", "1.2.3 "} {
+		if token, err := Parse(text); err == nil {
+			t.Errorf("Parse(%q) = %v, want an error", text, token)
+		}
+	}
+}
