gateway: route and forward requests between gateways

Cause: there is no path from a caller to a backend server. Change: sessions between gateways over yamux, the callers' HTTP endpoint, routing by placement, ownership and route hints, forwarding with framed answers that cannot look complete when they are cut. Conclusion: compiles against the dispatcher interface; not run yet.

--- /dev/null
+++ b/internal/gateway/constants.go
@@ -0,0 +1,46 @@
+package gateway
+
+import "time"
+
+const (
+	// DefaultTimeout is the deadline of a request without Plank-Timeout.
+	DefaultTimeout = 5 * time.Second
+	// MaxTimeout is the longest deadline that a caller may ask for.
+	MaxTimeout = 30 * time.Second
+	// MaxHeaderBytes bounds the header of a caller's request.
+	MaxHeaderBytes = 64 << 10
+	// MaxBodyBytes bounds the body of a caller's request.
+	MaxBodyBytes = 8 << 20
+	// bodyMemoryBytes bounds the memory for request bodies of one gateway.
+	bodyMemoryBytes = 64 << 20
+	// bufferedAnswerBytes is the size up to which an answer is read whole before it is passed on, so that a
+	// slow caller does not hold a slot of the backend server.
+	bufferedAnswerBytes = 256 << 10
+	// maxHops bounds the gateways after the first one that a request passes.
+	maxHops = 2
+	// holdInterval is the wait before a request without an owner or home is routed again.
+	holdInterval = 20 * time.Millisecond
+	// maxHold bounds the time that a request waits for an owner or home. Ownership is settled again within
+	// 2 s of a loss.
+	maxHold = 2500 * time.Millisecond
+	// maxHeld bounds the requests of one gateway that wait for an owner or home.
+	maxHeld = 4096
+	// noOwnerRetryAfter is the advice to callers whose key has no owner at the moment.
+	noOwnerRetryAfter = 2 * time.Second
+	// maxPathBytes bounds the path and query.
+	maxPathBytes = 8 << 10
+	// maxKeyBytes bounds keys, subscribers and request identities.
+	maxKeyBytes = 512
+)
+
+// Headers of callers' requests.
+const (
+	HeaderKey        = "Plank-Key"
+	HeaderSubscriber = "Plank-Subscriber"
+	HeaderTimeout    = "Plank-Timeout"
+	HeaderIdentity   = "Idempotency-Key"
+	// HeaderRequestID is set on each answer and names the request for "explain".
+	HeaderRequestID = "Plank-Request-Id"
+)
+
+const pathPrefix = "/v1/"
--- /dev/null
+++ b/internal/gateway/forward.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/sapphireplank/sapphireplank/internal/backend"
+	"github.com/sapphireplank/sapphireplank/internal/outcome"
+	"github.com/sapphireplank/sapphireplank/internal/wire"
+)
+
+// forward sends the call to another gateway and reads the head of the answer.
+func (g *Gateway) forward(ctx context.Context, v *View, c *call, t target) (*backend.Response, *outcome.Problem) {
+	stream, err := g.options.Peers.Open(ctx, v.hosts[t.host].PeerAddress)
+	if err != nil {
+		g.lostHost(c, t)
+		return nil, refusal(outcome.KindConnect, "the gateway "+t.host+" cannot be reached")
+	}
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	head, reader, problem := exchange(stream, c, t)
+	if problem != nil {
+		stop()
+		_ = stream.Close()
+		return nil, g.hopProblem(ctx, c, t, problem)
+	}
+	if head.Home != "" {
+		g.learn(c, head.Home)
+	}
+	body := &hopBody{call: c.request.ID, stream: stream, reader: reader, stop: stop}
+	return &backend.Response{
+		Status:        int(head.Status),
+		Header:        fromWireHeader(head.Headers),
+		Body:          body,
+		ContentLength: head.ContentLength,
+	}, nil
+}
+
+// exchange writes the request and reads the head of the answer.
+func exchange(stream *yamux.Stream, c *call, t target) (*wire.ResponseHead, *bufio.Reader, *outcome.Problem) {
+	if err := writeRequest(stream, c, t); err != nil {
+		return nil, nil, brokenHop()
+	}
+	reader := bufio.NewReader(stream)
+	head := &wire.ResponseHead{}
+	if err := wire.ReadMessage(reader, wire.FrameResponseHead, head); err != nil {
+		return nil, nil, brokenHop()
+	}
+	if string(head.RequestId) != string(c.request.ID[:]) {
+		return nil, nil, outcome.New(outcome.KindBadAnswer, http.StatusBadGateway, outcome.Unknown,
+			"a gateway answered another request; the outcome is unknown")
+	}
+	if head.Problem != nil {
+		return nil, nil, fromWireProblem(head.Problem)
+	}
+	return head, reader, nil
+}
+
+// writeRequest sends head, body and end with as few writes as possible.
+func writeRequest(stream *yamux.Stream, c *call, t target) error {
+	buffer, err := wire.AppendMessage(nil, wire.FrameRequestHead, toWireHead(c, t))
+	if err != nil {
+		return err
+	}
+	for rest := c.body; len(rest) > 0; {
+		n := min(len(rest), wire.MaxBodyFrameBytes)
+		buffer = wire.AppendFrame(buffer, wire.FrameBody, rest[:n])
+		rest = rest[n:]
+	}
+	end := &wire.End{RequestId: c.request.ID[:], TotalBytes: int64(len(c.body))}
+	if buffer, err = wire.AppendMessage(buffer, wire.FrameEnd, end); err != nil {
+		return err
+	}
+	_, err = stream.Write(buffer)
+	return err
+}
+
+func brokenHop() *outcome.Problem {
+	return outcome.New(outcome.KindConnectionLost, http.StatusBadGateway, outcome.Unknown,
+		"the connection to the home of the backend server broke; the outcome is unknown")
+}
+
+// hopProblem turns a failure of the hop into the answer for the caller.
+func (g *Gateway) hopProblem(ctx context.Context, c *call, t target, p *outcome.Problem) *outcome.Problem {
+	if p.Kind == outcome.KindConnectionLost && ctx.Err() != nil {
+		return outcome.New(outcome.KindTimeout, http.StatusGatewayTimeout, outcome.Unknown,
+			"the deadline passed while the request was at another gateway; the outcome is unknown")
+	}
+	if p.Kind == outcome.KindConnectionLost {
+		g.lostHost(c, t)
+	} else if isTransient(p.Kind) {
+		g.forgetHint(c)
+	}
+	return p
+}
+
+// lostHost forgets a hint that led nowhere, and avoids the host for a while.
+func (g *Gateway) lostHost(c *call, t target) {
+	g.suspects.add(t.host, time.Now())
+	g.forgetHint(c)
+}
+
+func (g *Gateway) forgetHint(c *call) {
+	if c.route.Keyed {
+		partition, _ := c.route.partition(c.request.Key)
+		c.route.hints.clear(partition)
+	}
+}
+
+func (g *Gateway) learn(c *call, home string) {
+	c.home = home
+	if c.route.Keyed {
+		partition, _ := c.route.partition(c.request.Key)
+		c.route.hints.set(partition, home)
+	}
+}
--- /dev/null
+++ b/internal/gateway/hop.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sapphireplank/sapphireplank/internal/backend"
+	"github.com/sapphireplank/sapphireplank/internal/outcome"
+	"github.com/sapphireplank/sapphireplank/internal/peer"
+	"github.com/sapphireplank/sapphireplank/internal/wire"
+)
+
+// HandleRequest serves one request that another gateway forwarded.
+func (g *Gateway) HandleRequest(head []byte, stream *peer.Stream) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	c, ok := g.readHop(head, stream)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), c.request.Deadline)
+	defer cancel()
+	go watchCancel(stream, cancel)
+	answer, problem := g.handleHop(ctx, c)
+	if problem != nil {
+		g.answerProblem(stream, c, problem)
+		return
+	}
+	g.answerHop(stream, c, answer)
+}
+
+// readHop reads head and body. A request that does not arrive whole is dropped; it has not run, and the
+// sender takes the outcome as unknown.
+func (g *Gateway) readHop(head []byte, stream *peer.Stream) (*call, bool) {
+	var message wire.RequestHead
+	if err := proto.Unmarshal(head, &message); err != nil {
+		return nil, false
+	}
+	c, ok := fromWireHead(&message)
+	if !ok || message.ContentLength < 0 || message.ContentLength > MaxBodyBytes {
+		return nil, false
+	}
+	body, err := readHopBody(stream, &message)
+	if err != nil {
+		return nil, false
+	}
+	c.body = body
+	return c, true
+}
+
+var errHopBody = errors.New("request body was cut between gateways; the sender decides whether to repeat it")
+
+func readHopBody(stream *peer.Stream, head *wire.RequestHead) ([]byte, error) {
+	body := make([]byte, 0, min(head.ContentLength, wire.MaxBodyFrameBytes))
+	for {
+		frameType, payload, err := wire.ReadFrame(stream.Reader, nil)
+		if err != nil {
+			return nil, err
+		}
+		switch frameType {
+		case wire.FrameBody:
+			body = append(body, payload...)
+			if int64(len(body)) > head.ContentLength {
+				return nil, errHopBody
+			}
+		case wire.FrameEnd:
+			return body, checkRequestEnd(payload, head, len(body))
+		default:
+			return nil, errHopBody
+		}
+	}
+}
+
+func checkRequestEnd(payload []byte, head *wire.RequestHead, size int) error {
+	var end wire.End
+	if err := proto.Unmarshal(payload, &end); err != nil {
+		return err
+	}
+	if string(end.RequestId) != string(head.RequestId) || end.TotalBytes != int64(size) || head.ContentLength != int64(size) {
+		return errHopBody
+	}
+	return nil
+}
+
+// watchCancel cancels the request when the sender closes the stream early or the session breaks.
+func watchCancel(stream *peer.Stream, cancel context.CancelFunc) {
+	_, _ = stream.Reader.ReadByte()
+	cancel()
+}
+
+func (g *Gateway) handleHop(ctx context.Context, c *call) (*backend.Response, *outcome.Problem) {
+	v := g.view.Load()
+	if v == nil {
+		return nil, refusal(outcome.KindNoConfig, "the gateway has no configuration yet")
+	}
+	route, ok := v.services[c.request.Service]
+	if !ok {
+		return nil, outcome.New(outcome.KindNoSuchService, http.StatusNotFound, outcome.NotRun,
+			"the service is not configured on the home; the configuration is still spreading")
+	}
+	c.route = route
+	return g.attempt(ctx, v, c)
+}
+
+func (g *Gateway) answerProblem(stream *peer.Stream, c *call, p *outcome.Problem) {
+	head := &wire.ResponseHead{RequestId: c.request.ID[:], Problem: toWireProblem(p)}
+	// A failed write leaves the sender with an unknown outcome, which is always safe.
+	_ = wire.WriteMessage(stream.Conn, wire.FrameResponseHead, head)
+}
+
+// answerHop sends the answer. Without the End frame the sender takes it as cut.
+func (g *Gateway) answerHop(stream *peer.Stream, c *call, answer *backend.Response) {
+	defer answer.Body.Close()
+	head := &wire.ResponseHead{
+		RequestId:     c.request.ID[:],
+		Status:        int32(answer.Status),
+		Headers:       toWireHeader(answer.Header),
+		Home:          cmp.Or(c.home, g.options.Self),
+		ContentLength: answer.ContentLength,
+	}
+	buffer, err := wire.AppendMessage(nil, wire.FrameResponseHead, head)
+	if err != nil {
+		return
+	}
+	total, err := g.copyHop(stream, answer.Body, buffer)
+	if err != nil {
+		return
+	}
+	end := &wire.End{RequestId: c.request.ID[:], TotalBytes: total}
+	_ = wire.WriteMessage(stream.Conn, wire.FrameEnd, end)
+}
+
+// copyHop writes the body in frames. The head travels with the first of them.
+func (g *Gateway) copyHop(stream *peer.Stream, body io.Reader, buffer []byte) (int64, error) {
+	chunk := make([]byte, wire.MaxBodyFrameBytes)
+	var total int64
+	for {
+		n, err := body.Read(chunk)
+		if n > 0 {
+			buffer = wire.AppendFrame(buffer, wire.FrameBody, chunk[:n])
+			total += int64(n)
+		}
+		if len(buffer) > 0 {
+			if _, writeErr := stream.Conn.Write(buffer); writeErr != nil {
+				return total, writeErr
+			}
+			buffer = buffer[:0]
+		}
+		if err == io.EOF {
+			return total, nil
+		}
+		if err != nil {
+			return total, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/view.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"slices"
+
+	"github.com/sapphireplank/sapphireplank/internal/cell"
+	"github.com/sapphireplank/sapphireplank/internal/config"
+	"github.com/sapphireplank/sapphireplank/internal/keyspace"
+)
+
+// View is all that traffic needs to route a request. It is immutable; the control goroutine publishes a new
+// one after each change.
+type View struct {
+	Self     string
+	Cell     string
+	Config   *config.Config
+	Snapshot *cell.Snapshot
+	services map[string]*serviceRoute
+	hosts    map[string]config.Host
+	cells    map[string][]string
+}
+
+// serviceRoute is one service as the gateway routes it.
+type serviceRoute struct {
+	*config.Service
+	placement *config.Placement
+	// local holds the servers in the gateway's own cell, by name.
+	local []string
+	// remote holds the other cells with servers of the service.
+	remote []string
+	// weight is the number of servers in each cell.
+	weight map[string]int
+	hints  *hints
+}
+
+// NewView computes the routing of a configuration. It is called once per revision; use WithSnapshot for
+// changes of ownership.
+func NewView(self string, c *config.Config, snapshot *cell.Snapshot) *View {
+	v := &View{
+		Self:     self,
+		Config:   c,
+		Snapshot: snapshot,
+		services: make(map[string]*serviceRoute, len(c.Services)),
+		hosts:    make(map[string]config.Host, len(c.Hosts)),
+		cells:    make(map[string][]string),
+	}
+	for _, host := range c.Hosts {
+		v.hosts[host.Name] = host
+		v.cells[host.Cell] = append(v.cells[host.Cell], host.Name)
+	}
+	v.Cell = v.hosts[self].Cell
+	for i := range c.Services {
+		v.services[c.Services[i].Name] = newServiceRoute(c, &c.Services[i], v.Cell)
+	}
+	return v
+}
+
+// WithSnapshot returns a copy of the view with another ownership.
+func (v *View) WithSnapshot(snapshot *cell.Snapshot) *View {
+	next := *v
+	next.Snapshot = snapshot
+	return &next
+}
+
+func newServiceRoute(c *config.Config, s *config.Service, own string) *serviceRoute {
+	route := &serviceRoute{Service: s, weight: make(map[string]int)}
+	for _, server := range s.Servers {
+		route.weight[server.Cell]++
+		if server.Cell == own {
+			route.local = append(route.local, server.Name)
+		} else if !slices.Contains(route.remote, server.Cell) {
+			route.remote = append(route.remote, server.Cell)
+		}
+	}
+	if s.Keyed {
+		route.placement = c.Place(s)
+		route.hints = newHints(s.Partitions)
+	}
+	return route
+}
+
+// partition returns the partition of key and the cell that owns it.
+func (r *serviceRoute) partition(key string) (keyspace.Partition, string) {
+	p := keyspace.Of(key, r.Partitions)
+	return p, r.placement.Cell(p)
+}
--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,113 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/yamux"
+)
+
+// DialFunc opens a connection to the peer address of a gateway.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// DialTCP is the DialFunc of production.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Pool keeps at most one outgoing session per address.
+type Pool struct {
+	dial DialFunc
+
+	// mu protects the fields below.
+	mu     sync.Mutex
+	closed bool
+	links  map[string]*link
+}
+
+// NewPool returns an empty pool.
+func NewPool(dial DialFunc) *Pool {
+	return &Pool{dial: dial, links: make(map[string]*link)}
+}
+
+// Open opens a stream to the gateway at address. After an error nothing has been sent.
+func (p *Pool) Open(ctx context.Context, address string) (*yamux.Stream, error) {
+	l, err := p.link(address)
+	if err != nil {
+		return nil, err
+	}
+	return l.open(ctx)
+}
+
+// Send queues one control payload for the gateway at address. It never blocks.
+func (p *Pool) Send(address string, payload []byte) error {
+	l, err := p.link(address)
+	if err != nil {
+		return err
+	}
+	return l.send(payload)
+}
+
+// Close closes all sessions.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	links := p.links
+	p.links = make(map[string]*link)
+	p.closed = true
+	p.mu.Unlock()
+	for _, l := range links {
+		l.close()
+	}
+}
+
+// Drop closes the session to address, if there is one.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	l := p.links[address]
+	delete(p.links, address)
+	p.mu.Unlock()
+	if l != nil {
+		l.close()
+	}
+}
+
+func (p *Pool) link(address string) (*link, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, ErrClosed
+	}
+	l, ok := p.links[address]
+	if !ok {
+		l = newLink(address, p.dial)
+		p.links[address] = l
+	}
+	return l, nil
+}
+
+func dialSession(ctx context.Context, dial DialFunc, address string) (*yamux.Session, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := dial(ctx, address)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "dial %s", address), ErrConnect)
+	}
+	session, err := yamux.Client(conn, yamuxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, errors.Mark(errors.Wrapf(err, "session with %s", address), ErrConnect)
+	}
+	return session, nil
+}
+
+// backoff remembers a failed dial, so that later calls fail at once until it is over.
+type backoff struct {
+	until time.Time
+	err   error
+}
+
+func (b backoff) active(now time.Time) bool { return b.err != nil && now.Before(b.until) }
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,131 @@
+package peer
+
+import (
+	"bufio"
+	"net"
+	"sync"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/sapphireplank/sapphireplank/internal/wire"
+)
+
+// readBufferBytes holds a request head and a small body in one read.
+const readBufferBytes = 4 << 10
+
+// Handler takes what other gateways send.
+type Handler interface {
+	// HandleRequest serves one request stream, whose head has been read. It returns when the answer is sent;
+	// the stream is closed afterwards.
+	HandleRequest(head []byte, stream *Stream)
+	// HandleControl takes one control payload. It must not block and may keep the payload.
+	HandleControl(payload []byte)
+}
+
+// Stream is an accepted request stream.
+type Stream struct {
+	// Reader reads what follows the head.
+	Reader *bufio.Reader
+	// Conn writes the answer.
+	Conn *yamux.Stream
+}
+
+// Server accepts sessions of other gateways.
+type Server struct {
+	handler Handler
+	wg      sync.WaitGroup
+
+	// mu protects the fields below.
+	mu       sync.Mutex
+	closed   bool
+	sessions map[*yamux.Session]struct{}
+}
+
+// NewServer returns a server that passes streams to handler.
+func NewServer(handler Handler) *Server {
+	return &Server{handler: handler, sessions: make(map[*yamux.Session]struct{})}
+}
+
+// Serve accepts sessions until the listener is closed.
+func (s *Server) Serve(listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		session, err := yamux.Server(conn, yamuxConfig())
+		if err != nil {
+			_ = conn.Close()
+			continue
+		}
+		if !s.add(session) {
+			_ = session.Close()
+			continue
+		}
+		go s.serveSession(session)
+	}
+}
+
+// Close closes all sessions and waits for their streams to end.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	for session := range s.sessions {
+		_ = session.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+func (s *Server) add(session *yamux.Session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.sessions[session] = struct{}{}
+	s.wg.Add(1)
+	return true
+}
+
+func (s *Server) remove(session *yamux.Session) {
+	_ = session.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, session)
+}
+
+func (s *Server) serveSession(session *yamux.Session) {
+	defer s.wg.Done()
+	defer s.remove(session)
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		s.wg.Add(1)
+		go s.serveStream(stream)
+	}
+}
+
+func (s *Server) serveStream(conn *yamux.Stream) {
+	defer s.wg.Done()
+	defer conn.Close()
+	// The handler may still read for a cancellation when it returns, so the reader is not reused.
+	reader := bufio.NewReaderSize(conn, readBufferBytes)
+	for {
+		frameType, payload, err := wire.ReadFrame(reader, nil)
+		if err != nil {
+			return
+		}
+		switch frameType {
+		case wire.FrameControl:
+			s.handler.HandleControl(payload)
+		case wire.FrameRequestHead:
+			s.handler.HandleRequest(payload, &Stream{Reader: reader, Conn: conn})
+			return
+		default:
+			return
+		}
+	}
+}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -109,3 +109,11 @@
 	}
 	return errors.Wrap(proto.Unmarshal(payload, m), "unmarshal message")
 }
+
+// AppendFrame appends payload as one frame to buffer.
+func AppendFrame(buffer []byte, t FrameType, payload []byte) []byte {
+	start := len(buffer)
+	buffer = append(buffer, make([]byte, frameHeaderBytes)...)
+	putHeader(buffer[start:], t, len(payload))
+	return append(buffer, payload...)
+}
