gateway: test forwarding, cut answers and refusals

Cause: the hop between gateways had no tests. Change: two gateways over real sessions with fake dispatchers; cases for whole and cut answers, malformed requests, unknown outcomes, missing owners, cancellation and endless bodies.

--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,240 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sapphireplank/sapphireplank/internal/backend"
+	"github.com/sapphireplank/sapphireplank/internal/outcome"
+)
+
+func echo(_ context.Context, r *backend.Request) (*backend.Response, error) {
+	body := ""
+	if r.Body != nil {
+		data, err := io.ReadAll(r.Body)
+		if err != nil {
+			return nil, err
+		}
+		body = string(data)
+	}
+	return answer(r.Method + " " + r.Path + " " + r.Key + " " + body), nil
+}
+
+// Guards against requests or answers that are altered on the way through another gateway.
+func TestForwardedRequestIsAnsweredWhole(t *testing.T) {
+	p := newPair(t, fakeHomes{"k1": echo, "s1": echo})
+	long := strings.Repeat("x", 300<<10)
+	for _, tc := range []struct {
+		path, body, want string
+		header           map[string]string
+	}{
+		{"/v1/keyed/batches/7?full=1", "", "POST /batches/7?full=1 depot-1 ", map[string]string{HeaderKey: "depot-1"}},
+		{"/v1/keyed/a", long, "POST /a depot-1 " + long, map[string]string{HeaderKey: "depot-1"}},
+		{"/v1/shared/fees", "amount=1", "POST /fees  amount=1", nil},
+	} {
+		r, err := http.DefaultClient.Do(p.request(t, http.MethodPost, tc.path, tc.header, tc.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(r.Body)
+		if err != nil || string(got) != tc.want || r.StatusCode != http.StatusOK {
+			t.Errorf("%s: status %d, %d bytes, error %v; want %d bytes", tc.path, r.StatusCode, len(got), err, len(tc.want))
+		}
+		if r.Header.Get("X-Backend") != "k1" || r.Header.Get(HeaderRequestID) == "" {
+			t.Errorf("%s: headers %v", tc.path, r.Header)
+		}
+	}
+}
+
+// failingBody returns an error in place of the end of the answer.
+type failingBody struct{ io.Reader }
+
+func (failingBody) Close() error { return nil }
+
+type errorReader struct{}
+
+func (errorReader) Read([]byte) (int, error) { return 0, errors.New("connection reset") }
+
+func cutAfter(n int, length int64) dispatchFunc {
+	return func(context.Context, *backend.Request) (*backend.Response, error) {
+		a := answer(strings.Repeat("y", n))
+		a.Body = failingBody{io.MultiReader(a.Body, errorReader{})}
+		a.ContentLength = length
+		return a, nil
+	}
+}
+
+// Guards against a cut answer that looks complete to the caller.
+func TestCutAnswerIsNeverComplete(t *testing.T) {
+	for name, dispatch := range map[string]dispatchFunc{
+		"short with length":    cutAfter(100, 200),
+		"short without length": cutAfter(100, -1),
+		"long with length":     cutAfter(600<<10, 700<<10),
+		"long without length":  cutAfter(600<<10, -1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t, fakeHomes{"s1": dispatch})
+			r, err := http.DefaultClient.Do(p.request(t, http.MethodPost, "/v1/shared/fees", nil, ""))
+			if err != nil {
+				return
+			}
+			defer r.Body.Close()
+			_, err = io.ReadAll(r.Body)
+			if err == nil && r.StatusCode == http.StatusOK {
+				t.Errorf("cut answer arrived as a whole one")
+			}
+		})
+	}
+}
+
+func problemOf(t *testing.T, r *http.Response) map[string]any {
+	t.Helper()
+	defer r.Body.Close()
+	var document map[string]any
+	if err := json.NewDecoder(r.Body).Decode(&document); err != nil {
+		t.Fatalf("status %d: %v", r.StatusCode, err)
+	}
+	if r.Header.Get("Content-Type") != outcome.ContentType {
+		t.Errorf("content type %q", r.Header.Get("Content-Type"))
+	}
+	return document
+}
+
+// Guards against malformed requests that reach a backend server, and against refusals without an outcome.
+func TestMalformedRequestsAreRefusedAsNotRun(t *testing.T) {
+	var runs atomic.Int64
+	count := func(ctx context.Context, r *backend.Request) (*backend.Response, error) {
+		runs.Add(1)
+		return echo(ctx, r)
+	}
+	p := newPair(t, fakeHomes{"k1": count, "s1": count})
+	key := map[string]string{HeaderKey: "k"}
+	for _, tc := range []struct {
+		path   string
+		header map[string]string
+		status int
+	}{
+		{"/v2/keyed/a", key, http.StatusNotFound},
+		{"/v1/absent/a", key, http.StatusNotFound},
+		{"/v1/keyed/a", nil, http.StatusBadRequest},
+		{"/v1/keyed/a/../b", key, http.StatusBadRequest},
+		{"/v1/keyed/a%2Fb", key, http.StatusBadRequest},
+		{"/v1/keyed//a", key, http.StatusBadRequest},
+		{"/v1/keyed/a", map[string]string{HeaderKey: "k", HeaderTimeout: "0"}, http.StatusBadRequest},
+		{"/v1/keyed/a", map[string]string{HeaderKey: "k", HeaderTimeout: "30001"}, http.StatusBadRequest},
+		{"/v1/keyed/a", map[string]string{HeaderKey: strings.Repeat("k", 513)}, http.StatusBadRequest},
+		{"/v1/shared/a", map[string]string{HeaderSubscriber: ""}, http.StatusBadRequest},
+		{"/v1/shared/" + strings.Repeat("a", 9000), nil, http.StatusRequestURITooLong},
+	} {
+		r, err := http.DefaultClient.Do(p.request(t, http.MethodPost, tc.path, tc.header, ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		document := problemOf(t, r)
+		if r.StatusCode != tc.status || document["outcome"] != "not-run" {
+			t.Errorf("%.40s: status %d, want %d; document %v", tc.path, r.StatusCode, tc.status, document)
+		}
+	}
+	if runs.Load() != 0 {
+		t.Errorf("%d malformed requests reached a backend server", runs.Load())
+	}
+}
+
+// Guards against a second execution of a non-idempotent request whose outcome is unknown, and against
+// giving up an idempotent one that could be repeated.
+func TestUnknownOutcomeIsRepeatedOnlyIfIdempotent(t *testing.T) {
+	for _, tc := range []struct {
+		method string
+		runs   int64
+		status int
+	}{
+		{http.MethodPost, 1, http.StatusBadGateway},
+		{http.MethodGet, 2, http.StatusOK},
+	} {
+		var runs atomic.Int64
+		p := newPair(t, fakeHomes{"k1": func(ctx context.Context, r *backend.Request) (*backend.Response, error) {
+			if runs.Add(1) == 1 {
+				return nil, outcome.New(outcome.KindConnectionLost, http.StatusBadGateway, outcome.Unknown, "lost")
+			}
+			return echo(ctx, r)
+		}})
+		r, err := http.DefaultClient.Do(p.request(t, tc.method, "/v1/keyed/a", map[string]string{HeaderKey: "k"}, ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Body.Close()
+		if runs.Load() != tc.runs || r.StatusCode != tc.status {
+			t.Errorf("%s: %d executions, status %d; want %d and %d", tc.method, runs.Load(), r.StatusCode, tc.runs, tc.status)
+		}
+	}
+}
+
+// Guards against refusing a request while its key is between two owners.
+func TestRequestWaitsForAnOwner(t *testing.T) {
+	p := newPair(t, fakeHomes{"k1": echo})
+	withOwner := p.entry.View()
+	p.entry.SetView(withOwner.WithSnapshot(testSnapshot("")))
+	done := make(chan int, 1)
+	r := p.request(t, http.MethodPost, "/v1/keyed/a", map[string]string{HeaderKey: "k"}, "")
+	go func() {
+		answer, err := http.DefaultClient.Do(r)
+		if err != nil {
+			done <- 0
+			return
+		}
+		answer.Body.Close()
+		done <- answer.StatusCode
+	}()
+	for p.entry.held.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	p.entry.SetView(withOwner)
+	if status := <-done; status != http.StatusOK {
+		t.Errorf("status %d, want 200 after the owner was set", status)
+	}
+}
+
+// Guards against a request that goes on at the home after its caller has left.
+func TestCallerThatLeavesCancelsTheRequest(t *testing.T) {
+	started, cancelled := make(chan struct{}), make(chan struct{})
+	p := newPair(t, fakeHomes{"s1": func(ctx context.Context, _ *backend.Request) (*backend.Response, error) {
+		close(started)
+		<-ctx.Done()
+		close(cancelled)
+		return nil, outcome.New(outcome.KindCanceled, 499, outcome.Unknown, "canceled")
+	}})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-started
+		cancel()
+	}()
+	r := p.request(t, http.MethodPost, "/v1/shared/fees", nil, "")
+	if answer, err := http.DefaultClient.Do(r.WithContext(ctx)); err == nil {
+		answer.Body.Close()
+	}
+	<-cancelled
+}
+
+// Guards against a slow or endless body that holds a slot.
+func TestEndlessBodyIsRefusedBeforeDispatch(t *testing.T) {
+	p := newPair(t, fakeHomes{"s1": echo})
+	body, writer := io.Pipe()
+	defer writer.Close()
+	r := p.request(t, http.MethodPost, "/v1/shared/fees", map[string]string{HeaderTimeout: "50"}, "")
+	r.Body, r.ContentLength = body, 100
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return // The server closed the connection without reading the body.
+	}
+	if document := problemOf(t, answer); document["outcome"] != "not-run" {
+		t.Errorf("document %v", document)
+	}
+}
