dev: check invariants against what backend servers executed

Cause: a run needs a verdict per promise that rests on recorded events. Conclusion: seeded violations of each kind are found by the tests.

--- /dev/null
+++ b/internal/dev/promises_test.go
@@ -0,0 +1,86 @@
+package dev
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/fence"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func at(millis int) time.Time { return epoch.Add(time.Duration(millis) * time.Millisecond) }
+
+func run(server, key, identity string, from, to int, seq uint64) Execution {
+	return Execution{Server: server, Service: "s", Key: key, Identity: identity, Start: at(from), End: at(to),
+		Token: fence.Token{Seq: seq}}
+}
+
+func violations(promises []Promise) map[string]int {
+	found := make(map[string]int)
+	for _, p := range promises {
+		if p.Violations > 0 {
+			found[p.Name] = p.Violations
+		}
+	}
+	return found
+}
+
+// Guards against a checker that passes runs in which an invariant is broken.
+func TestCheckersFindSeededViolations(t *testing.T) {
+	keyed := map[string]bool{"s": true}
+	for _, tc := range []struct {
+		name       string
+		records    []Record
+		executions []Execution
+		want       string
+	}{
+		{"clean", []Record{{Identity: "a", Result: ResultAnswered}}, []Execution{run("x", "k", "a", 0, 5, 1), run("y", "k", "b", 5, 9, 2)}, ""},
+		{"ran twice", []Record{{Identity: "a"}}, []Execution{run("x", "k", "a", 0, 5, 1), run("x", "k", "a", 6, 9, 1)},
+			"a non-idempotent request runs at most once"},
+		{"not run but ran", []Record{{Identity: "a", Result: ResultNotRun}}, []Execution{run("x", "k", "a", 0, 5, 1)},
+			"a request refused as not run did not run"},
+		{"answered but did not run", []Record{{Identity: "a", Result: ResultAnswered}}, []Execution{run("x", "k", "b", 0, 5, 1)},
+			"an answered request ran"},
+		{"foreign answer", []Record{{Identity: "a", Foreign: true}}, []Execution{run("x", "k", "a", 0, 5, 1)},
+			"every caller receives the answer to its own request"},
+		{"two owners", nil, []Execution{run("x", "k", "a", 0, 5, 1), run("y", "k", "b", 4, 9, 2)},
+			"no key is executed by two backend servers at a time"},
+		{"token goes back", nil, []Execution{run("x", "k", "a", 0, 5, 2), run("y", "k", "b", 6, 9, 1)},
+			"a later owner of a key has a greater fencing token"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			found := violations(append(checkExecutions(tc.records, tc.executions), checkOwnership(tc.executions, keyed)...))
+			if tc.want == "" && len(found) > 0 || tc.want != "" && found[tc.want] != 1 {
+				t.Errorf("found %v, want %q", found, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against a leaving server that still gets work.
+func TestCheckLeavingFindsLateWork(t *testing.T) {
+	executions := []Execution{run("x", "k", "a", 2900, 2950, 1), run("x", "k", "b", 3100, 3150, 1), run("y", "k", "c", 9000, 9001, 1)}
+	p := checkLeaving(executions, []LeaveCheck{{Server: "x", At: epoch}}, 3*time.Second)
+	if p.Violations != 1 {
+		t.Errorf("%d violations, want 1", p.Violations)
+	}
+}
+
+// Guards against unavailable time that is lost between refusals, or that is counted for overload.
+func TestUnavailableTime(t *testing.T) {
+	record := func(start, took int, r Result, kind string) Record {
+		return Record{Service: "s", Key: "k", Start: at(start), Took: time.Duration(took) * time.Millisecond, Result: r, Kind: kind}
+	}
+	u := unavailableTime([]Record{
+		record(0, 5, ResultAnswered, ""),
+		record(100, 5, ResultNotRun, "queue-full"),
+		record(200, 5, ResultUnknown, "connection-lost"),
+		record(300, 5, ResultNotRun, "no-owner"),
+		record(700, 100, ResultAnswered, ""),
+		record(900, 5, ResultNotRun, "no-owner"),
+	}, at(1000))
+	if want := 700 * time.Millisecond; u.Worst != want || u.Keys != 1 {
+		t.Errorf("unavailable %v in %d keys, want %v in 1", u.Worst, u.Keys, want)
+	}
+}
