--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -24,7 +24,8 @@
 type Entry struct {
 	Key   string
 	Value []byte
-	// Version grows with each write of the key. 0 means that the key does not exist.
+	// Version grows with each write of the key. 0 means that the key does not exist. A store that was restored
+	// from a backup can show an older version again, but never gives one version to two values.
 	Version uint64
 }
 
