--- /dev/null
+++ b/internal/timeline/ring.go
@@ -0,0 +1,42 @@
+package timeline
+
+// ring keeps the last records in memory.
+type ring struct {
+	records []Record
+	next    int
+	full    bool
+}
+
+func newRing(size int) *ring {
+	return &ring{records: make([]Record, size)}
+}
+
+func (r *ring) add(record Record) {
+	if len(r.records) == 0 {
+		return
+	}
+	r.records[r.next] = record
+	r.next++
+	if r.next == len(r.records) {
+		r.next = 0
+		r.full = true
+	}
+}
+
+// find returns the selected records, oldest first.
+func (r *ring) find(filter *Filter) []Record {
+	var found []Record
+	if r.full {
+		found = appendMatches(found, r.records[r.next:], filter)
+	}
+	return appendMatches(found, r.records[:r.next], filter)
+}
+
+func appendMatches(found, records []Record, filter *Filter) []Record {
+	for i := range records {
+		if filter.Match(&records[i]) {
+			found = append(found, records[i])
+		}
+	}
+	return found
+}
