--- /dev/null
+++ b/internal/logging/levels.go
@@ -0,0 +1,52 @@
+package logging
+
+import (
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// ErrLevel is the error of ParseLevels.
+var ErrLevel = errors.New("not a log level; use panic, fatal, error, warning, info, debug or trace")
+
+// Levels holds the level of each part.
+type Levels struct {
+	// Default is the level of parts that are not named.
+	Default logrus.Level
+	// Parts are the levels of named parts.
+	Parts map[string]logrus.Level
+}
+
+// Of returns the level of a part.
+func (l Levels) Of(part string) logrus.Level {
+	if level, ok := l.Parts[part]; ok {
+		return level
+	}
+	return l.Default
+}
+
+// ParseLevels reads a setting such as "info" or "info,cell=debug,home=warning". An empty setting means "info".
+func ParseLevels(setting string) (Levels, error) {
+	levels := Levels{Default: logrus.InfoLevel, Parts: make(map[string]logrus.Level)}
+	for item := range strings.SplitSeq(setting, ",") {
+		item = strings.TrimSpace(item)
+		if item == "" {
+			continue
+		}
+		part, name, named := strings.Cut(item, "=")
+		if !named {
+			part, name = "", item
+		}
+		level, err := logrus.ParseLevel(strings.TrimSpace(name))
+		if err != nil {
+			return Levels{}, errors.Wrapf(ErrLevel, "%q", item)
+		}
+		if !named {
+			levels.Default = level
+			continue
+		}
+		levels.Parts[strings.TrimSpace(part)] = level
+	}
+	return levels, nil
+}
--- /dev/null
+++ b/internal/logging/writer.go
@@ -0,0 +1,19 @@
+package logging
+
+import (
+	"io"
+	"sync"
+)
+
+// lockedWriter lets the loggers of all parts share one output.
+type lockedWriter struct {
+	// mu protects the fields below.
+	mu     sync.Mutex
+	output io.Writer
+}
+
+func (w *lockedWriter) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.output.Write(line)
+}
