--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,45 @@
+// Package examples holds the questionnaires of the two example deployments.
+package examples
+
+import (
+	"embed"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sapphireplank/sapphireplank/internal/config"
+	"github.com/sapphireplank/sapphireplank/internal/questionnaire"
+)
+
+// Names of the example deployments.
+const (
+	Moravia = "moravia"
+	Kyushu  = "kyushu"
+)
+
+//go:embed moravia.ini kyushu.ini
+var files embed.FS
+
+// ErrNoExample is returned for a name that is no example.
+var ErrNoExample = errors.New("no such example; use moravia or kyushu")
+
+// Text returns the questionnaire of an example.
+func Text(name string) ([]byte, error) {
+	text, err := files.ReadFile(name + ".ini")
+	if err != nil {
+		return nil, errors.Wrapf(ErrNoExample, "example %q", name)
+	}
+	return text, nil
+}
+
+// Config returns the generated configuration of an example. It has no revision and no id yet.
+func Config(name string) (*config.Config, error) {
+	text, err := Text(name)
+	if err != nil {
+		return nil, err
+	}
+	result, err := questionnaire.FromText(text)
+	if err != nil {
+		return nil, err
+	}
+	return result.Config, nil
+}
