assign: add the assignment policy

The holder needs the next owner of each partition and hot key as a pure function. Units keep their owner unless it leaves or a server deviates from its share; forced placements go to the least loaded server, balance moves from the most to the least loaded one, bounded per round.

--- /dev/null
+++ b/internal/assign/moves.go
@@ -0,0 +1,150 @@
+package assign
+
+import "sort"
+
+// minGain is the least difference of load, relative to the share, that a move must remove.
+const minGain = 0.002
+
+// maxPasses bounds the passes of one round. Each pass that moves something lowers the sum of the squared loads, so
+// few passes are needed.
+const maxPasses = 8
+
+// balance moves units from overloaded to underloaded servers until every server is near its share, no move helps or
+// the limit of the round is reached.
+func (r *round) balance() {
+	limit := r.tuning.moveLimit(len(r.units))
+	if !r.needsBalance() {
+		return
+	}
+	for range maxPasses {
+		pass := newBalancePass(r, limit)
+		moved := pass.run()
+		limit -= moved
+		if moved == 0 {
+			return
+		}
+		if limit == 0 {
+			r.deferred = true
+			return
+		}
+		r.sumLoads()
+	}
+	r.deferred = true
+}
+
+// needsBalance reports whether a server deviates from its share by more than StartAt.
+func (r *round) needsBalance() bool {
+	for server := range r.capacity {
+		if r.capacity[server] == 0 {
+			continue
+		}
+		ratio := r.ratio(int32(server))
+		if ratio > 1+r.tuning.StartAt || ratio < 1-r.tuning.StartAt {
+			return true
+		}
+	}
+	return false
+}
+
+// balancePass moves each unit at most once.
+type balancePass struct {
+	round *round
+	limit int
+	// donors and receivers hold the servers that can still give and take.
+	donors    *serverHeap
+	receivers *serverHeap
+	owned     ownedUnits
+}
+
+func newBalancePass(r *round, limit int) *balancePass {
+	pass := &balancePass{
+		round:     r,
+		limit:     limit,
+		donors:    newServerHeap(len(r.capacity)),
+		receivers: newServerHeap(len(r.capacity)),
+		owned:     newOwnedUnits(r),
+	}
+	for server := range r.capacity {
+		if r.capacity[server] > 0 {
+			pass.donors.set(int32(server), -r.ratio(int32(server)))
+			pass.receivers.set(int32(server), r.ratio(int32(server)))
+		}
+	}
+	return pass
+}
+
+// run moves units until the servers are near their shares and returns the number of moves.
+func (p *balancePass) run() int {
+	moved := 0
+	for moved < p.limit && p.donors.len() > 0 && p.receivers.len() > 0 {
+		from, to := p.donors.top(), p.receivers.top()
+		if p.isBalanced(from, to) {
+			break
+		}
+		at, ok := p.pick(from, to)
+		if !ok {
+			p.dismiss(from, to)
+			continue
+		}
+		p.move(p.owned.take(from, at), from, to)
+		moved++
+	}
+	return moved
+}
+
+func (p *balancePass) isBalanced(from, to int32) bool {
+	stop := p.round.tuning.StopAt
+	return p.round.ratio(from) <= 1+stop && p.round.ratio(to) >= 1-stop
+}
+
+// pick returns the position of the unit of from whose move to to helps most: the heaviest that leaves from with its
+// share, or else the lightest. It returns false if no move makes the pair more even.
+func (p *balancePass) pick(from, to int32) (int, bool) {
+	r := p.round
+	share := r.share * r.capacity[from]
+	excess := r.load[from] - share*(1-r.tuning.StopAt)
+	units := p.owned.of(r, from)
+	first := sort.Search(len(units), func(i int) bool { return r.units[units[i]].load <= excess })
+	for i := first; i < len(units); i++ {
+		if p.helps(units[i], from, to) {
+			return i, true
+		}
+	}
+	if first == 0 {
+		return 0, false
+	}
+	return first - 1, p.helps(units[first-1], from, to)
+}
+
+// helps reports whether moving a unit lowers the greater of both loads.
+func (p *balancePass) helps(i, from, to int32) bool {
+	r := p.round
+	after := (r.load[to] + r.units[i].load) / (r.capacity[to] * r.share)
+	return r.units[i].load > 0 && after < r.ratio(from)-minGain
+}
+
+// dismiss takes a server out of the pass after it found no move. A receiver that is smaller than the donor goes
+// first, because a greater one may be able to take the unit.
+func (p *balancePass) dismiss(from, to int32) {
+	if p.round.capacity[to] < p.round.capacity[from] {
+		p.receivers.remove(to)
+		return
+	}
+	p.donors.remove(from)
+}
+
+func (p *balancePass) move(i, from, to int32) {
+	p.round.moveUnit(i, to)
+	p.update(from)
+	p.update(to)
+}
+
+func (p *balancePass) update(server int32) {
+	ratio := p.round.ratio(server)
+	if p.donors.position[server] >= 0 {
+		p.donors.set(server, -ratio)
+	}
+	if p.receivers.position[server] >= 0 {
+		p.receivers.set(server, ratio)
+	}
+}
--- /dev/null
+++ b/internal/assign/ramp.go
@@ -0,0 +1,13 @@
+package assign
+
+import "time"
+
+// rampShare returns the share of its capacity that a server may use at time now. It grows linearly from RampFloor
+// to 1 during RampTime. A coldSince after now, which a change of holder can cause, counts as now.
+func (t *Tuning) rampShare(coldSince, now time.Duration) float64 {
+	if t.RampTime <= 0 || coldSince <= now-t.RampTime {
+		return 1
+	}
+	age := max(0, now-coldSince)
+	return t.RampFloor + (1-t.RampFloor)*float64(age)/float64(t.RampTime)
+}
