--- /dev/null
+++ b/internal/assign/bench_test.go
@@ -0,0 +1,58 @@
+package assign
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/sapphireplank/sapphireplank/internal/config"
+	"github.com/sapphireplank/sapphireplank/internal/keyspace"
+)
+
+// largeInput is the target size: 65,536 partitions, 1,000 servers and 1,024 overrides.
+func largeInput(partitions, servers int) *Input {
+	random := rand.New(rand.NewPCG(1, 2))
+	in := &Input{PartitionCount: partitions, Preference: config.PreferBalance}
+	for i := range servers {
+		in.Servers = append(in.Servers, Server{Name: serverName(i), State: Up, ColdSince: Warm})
+	}
+	for id := range partitions {
+		in.Partitions = append(in.Partitions, PartitionLoad{ID: keyspace.Partition(id), Load: 1 + random.Float64()})
+	}
+	for i := range MaxOverrides {
+		in.HotKeys = append(in.HotKeys, KeyLoad{Key: fmt.Sprintf("key-%d", i), Load: 10 + random.Float64()})
+	}
+	return in
+}
+
+func BenchmarkNext(b *testing.B) {
+	cases := map[string]func(in *Input){
+		"unplaced": func(in *Input) {
+			for i := range in.Partitions {
+				in.Partitions[i].Owner = ""
+			}
+		},
+		"settled": func(*Input) {},
+		"leave":   func(in *Input) { in.Servers[7].State = Down },
+		"join": func(in *Input) {
+			in.Servers = append(in.Servers, Server{Name: "joiner", State: Up, ColdSince: Warm})
+		},
+		"skewed": func(in *Input) {
+			random := rand.New(rand.NewPCG(3, 4))
+			for i := range in.Partitions {
+				in.Partitions[i].Load *= random.ExpFloat64() * random.ExpFloat64()
+			}
+		},
+	}
+	for _, name := range []string{"unplaced", "settled", "leave", "join", "skewed"} {
+		b.Run(name, func(b *testing.B) {
+			in := largeInput(65536, 1000)
+			in = after(in, Policy{}.Next(in), 1)
+			cases[name](in)
+			b.ReportAllocs()
+			for b.Loop() {
+				Policy{}.Next(in)
+			}
+		})
+	}
+}
--- a/internal/assign/placement.go
+++ b/internal/assign/placement.go
@@ -1,10 +1,5 @@
 package assign
 
-import (
-	"cmp"
-	"slices"
-)
-
 // placeForced gives an owner to every unit without one and to the units of servers that leave. The heaviest unit
 // goes first, each to the server with the lowest load relative to its share.
 func (r *round) placeForced() {
@@ -62,16 +57,6 @@
 	return units[:part]
 }
 
-// sortByLoad orders units by load, heaviest first.
-func (r *round) sortByLoad(units []int32) {
-	slices.SortFunc(units, func(a, b int32) int {
-		if c := cmp.Compare(r.units[b].load, r.units[a].load); c != 0 {
-			return c
-		}
-		return cmp.Compare(a, b)
-	})
-}
-
 // moveUnit changes the owner of a unit and the loads of both servers.
 func (r *round) moveUnit(i, to int32) {
 	unit := &r.units[i]
--- a/internal/assign/report.go
+++ b/internal/assign/report.go
@@ -7,6 +7,9 @@
 		TooHot:   tooHot,
 		Deferred: r.deferred,
 	}
+	if moved := r.countMoved(); moved > 0 {
+		result.Moves = make([]Move, 0, moved)
+	}
 	for i := range r.in.Partitions {
 		partition := &r.in.Partitions[i]
 		result.Owners[i] = r.nameAfter(i, partition.Owner)
@@ -23,6 +26,17 @@
 	return result
 }
 
+// countMoved returns the number of units that changed their owner and of keys that may have.
+func (r *round) countMoved() int {
+	moved := len(r.hot.returned)
+	for i := range r.units {
+		if r.units[i].owner != r.units[i].previous {
+			moved++
+		}
+	}
+	return moved
+}
+
 // nameAfter returns the owner of a unit after the round. A unit that did not move keeps its previous name, also if
 // that server is unknown.
 func (r *round) nameAfter(i int, previous string) string {
