control: add the loop that owns control state

Cause: the state machines of cell and confsync need one goroutine that feeds them and carries out their outputs.

--- /dev/null
+++ b/internal/control/messages.go
@@ -0,0 +1,123 @@
+package control
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sapphireplank/sapphireplank/internal/confsync"
+	"github.com/sapphireplank/sapphireplank/internal/timeline"
+	"github.com/sapphireplank/sapphireplank/internal/wire"
+)
+
+// HandleControl takes one control payload from another gateway. It never blocks: what does not fit is dropped,
+// and the state machines repeat what matters.
+func (l *Loop) HandleControl(payload []byte) {
+	envelope := new(wire.Envelope)
+	if err := proto.Unmarshal(payload, envelope); err != nil || envelope.From == "" {
+		l.options.Log.WithError(err).Warn("Dropped a malformed control message.")
+		return
+	}
+	select {
+	case l.inbox <- envelope:
+	default:
+		l.options.Log.Warn("Dropped a control message because the loop is behind.")
+	}
+}
+
+func (l *Loop) receive(e *wire.Envelope) {
+	l.options.Clock.Observe(timeline.Timestamp(e.Time))
+	if e.Config != nil && e.GetExchange() == nil {
+		l.applyConfig(l.confs.PeerState(l.now(), e.From, fromWireState(e.Config)))
+	}
+	switch body := e.Body.(type) {
+	case *wire.Envelope_Control:
+		l.applyCell(l.cell.Receive(l.now(), e.From, body.Control))
+	case *wire.Envelope_Exchange:
+		l.receiveConfig(e.From, confsync.Exchange{
+			State:  fromWireState(e.Config),
+			Cell:   body.Exchange.Cell,
+			Holder: body.Exchange.Holder,
+			Reply:  body.Exchange.Reply,
+		})
+	case *wire.Envelope_Pull:
+		l.receiveConfig(e.From, confsync.Pull{Have: fromWireVersion(body.Pull.Have)})
+	case *wire.Envelope_Content:
+		l.receiveConfig(e.From, confsync.Content{
+			Version: fromWireVersion(body.Content.Version),
+			Base:    fromWireVersion(body.Content.Base),
+			Data:    body.Content.Data,
+		})
+	}
+}
+
+func (l *Loop) receiveConfig(from string, m confsync.Message) {
+	l.applyConfig(l.confs.Receive(l.now(), from, m))
+}
+
+func (l *Loop) sendControl(to string, m *wire.Control) {
+	e := &wire.Envelope{Body: &wire.Envelope_Control{Control: m}}
+	if m.GetHeartbeat() != nil || m.GetHeartbeatReply() != nil {
+		e.Config = toWireState(l.confs.State())
+	}
+	l.send(to, e)
+}
+
+func (l *Loop) sendConfig(to string, m confsync.Message) {
+	e := new(wire.Envelope)
+	switch m := m.(type) {
+	case confsync.Exchange:
+		e.Config = toWireState(m.State)
+		e.Body = &wire.Envelope_Exchange{Exchange: &wire.ConfigExchange{Cell: m.Cell, Holder: m.Holder, Reply: m.Reply}}
+	case confsync.Pull:
+		e.Body = &wire.Envelope_Pull{Pull: &wire.ConfigPull{Have: toWireVersion(m.Have)}}
+	case confsync.Content:
+		content := &wire.ConfigContent{Version: toWireVersion(m.Version), Base: toWireVersion(m.Base), Data: m.Data}
+		e.Body = &wire.Envelope_Content{Content: content}
+	}
+	l.send(to, e)
+}
+
+func (l *Loop) send(to string, e *wire.Envelope) {
+	address := l.address(to)
+	if address == "" {
+		return
+	}
+	e.From = l.options.Host
+	e.Time = uint64(l.options.Clock.Now())
+	payload, err := proto.Marshal(e)
+	if err != nil {
+		l.options.Log.WithError(err).Error("Could not encode a control message.")
+		return
+	}
+	if err := l.options.Sender.Send(address, payload); err != nil {
+		l.options.Log.WithError(err).Debug("Dropped a control message.")
+	}
+}
+
+// address returns the peer address of a host by the newest configuration, or by the settings before there is one.
+func (l *Loop) address(host string) string {
+	if l.held != nil {
+		if h, ok := l.held.Host(host); ok {
+			return h.PeerAddress
+		}
+	}
+	return l.options.Seeds[host]
+}
+
+func toWireVersion(v confsync.Version) *wire.ConfigVersion {
+	if v == (confsync.Version{}) {
+		return nil
+	}
+	return &wire.ConfigVersion{Revision: v.Revision, Id: v.ID}
+}
+
+func fromWireVersion(v *wire.ConfigVersion) confsync.Version {
+	return confsync.Version{Revision: v.GetRevision(), ID: v.GetId()}
+}
+
+func toWireState(s confsync.State) *wire.ConfigState {
+	return &wire.ConfigState{Version: toWireVersion(s.Version), Disputed: s.Disputed}
+}
+
+func fromWireState(s *wire.ConfigState) confsync.State {
+	return confsync.State{Version: fromWireVersion(s.GetVersion()), Disputed: s.GetDisputed()}
+}
