home: add dispatcher, backend client, stand-in servers and fair queue

A first working version for the integration into the gateway: the client writes no request twice, the dispatcher keeps slots, queue, grants, health and request identities of one backend server, and the stand-in implements the contract with switches for faults.

--- /dev/null
+++ b/internal/home/assignment.go
@@ -0,0 +1,48 @@
+package home
+
+import (
+	"github.com/sapphireplank/sapphireplank/internal/backend"
+	"github.com/sapphireplank/sapphireplank/internal/cell"
+	"github.com/sapphireplank/sapphireplank/internal/fence"
+	"github.com/sapphireplank/sapphireplank/internal/keyspace"
+)
+
+// Owned is one scope that the backend server owns.
+type Owned struct {
+	Scope backend.Scope
+	Token fence.Token
+	// Releasing is true while the home must stop dispatching the scope and report the release.
+	Releasing bool
+}
+
+// Assignment is everything that the backend server owns. It is complete: a scope that is not in it is not
+// owned. Services that are not divided by key have an empty one.
+type Assignment struct {
+	Owned []Owned
+	// Elsewhere holds the hot keys that other backend servers own, although the server may own their
+	// partitions. The dispatcher keeps the map; it must not change.
+	Elsewhere map[string]bool
+}
+
+// AssignmentOf returns the assignment of a backend server according to the ownership of its service.
+func AssignmentOf(view *cell.ServiceView, server string) Assignment {
+	assignment := Assignment{Elsewhere: make(map[string]bool)}
+	for partition, owner := range view.Owners {
+		if owner.Server == server {
+			scope := backend.Scope{Partition: keyspace.Partition(partition)}
+			assignment.Owned = append(assignment.Owned, ownedBy(owner, scope))
+		}
+	}
+	for key, owner := range view.HotKeys {
+		if owner.Server != server {
+			assignment.Elsewhere[key] = true
+			continue
+		}
+		assignment.Owned = append(assignment.Owned, ownedBy(owner, backend.Scope{HotKey: key}))
+	}
+	return assignment
+}
+
+func ownedBy(owner cell.Owner, scope backend.Scope) Owned {
+	return Owned{Scope: scope, Token: owner.Token, Releasing: owner.Releasing}
+}
--- /dev/null
+++ b/internal/home/config.go
@@ -0,0 +1,102 @@
+// Package home has the dispatcher of one backend server: its slots, queue, grants, health and record of
+// request identities. All traffic to the server passes through it.
+package home
+
+import (
+	"context"
+	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/backend"
+	"github.com/sapphireplank/sapphireplank/internal/timeline"
+)
+
+// Constants of the design.
+const (
+	// HomeLease is the length of a home lease.
+	HomeLease = 600 * time.Millisecond
+	// MaxClockSkew is the largest difference between two wall clocks.
+	MaxClockSkew = 50 * time.Millisecond
+	// RenewInterval separates two renewals of the grants.
+	RenewInterval = 150 * time.Millisecond
+	// ProbeInterval separates two probes of a server without grants.
+	ProbeInterval = 200 * time.Millisecond
+	// DefaultMaxRequest is the longest execution of a request. A longer one extends the wait before
+	// partitions move.
+	DefaultMaxRequest = 400 * time.Millisecond
+	// IdentityWindow is the time for which request identities are remembered.
+	IdentityWindow = 10 * time.Minute
+)
+
+const (
+	defaultQueuePerSubscriber = 256
+	defaultQueueTotal         = 4096
+	defaultIdentities         = 100_000
+	// hotKeyCounters bounds the error of a hot key's count to 1/256 of all requests.
+	hotKeyCounters = 256
+)
+
+// Backend is the client of the backend server.
+type Backend interface {
+	Do(ctx context.Context, req *backend.Request) (*backend.Response, error)
+}
+
+// Grantor makes the control calls to the backend server.
+type Grantor interface {
+	Renew(ctx context.Context, set backend.GrantSet, expires time.Time) (backend.GrantStatus, error)
+	Withdraw(ctx context.Context, scopes []backend.Scope) error
+	Probe(ctx context.Context) (backend.Health, error)
+}
+
+// Config are the fixed settings of a Dispatcher.
+type Config struct {
+	Service string
+	Server  string
+	// Slots is the number of requests that the server executes at a time.
+	Slots int
+	// Keyed is true for a service divided by key, with Partitions partitions.
+	Keyed      bool
+	Partitions int
+	// Fenced is true if the server checks fencing tokens.
+	Fenced bool
+	// MaxRequest is the longest execution of a request. Default DefaultMaxRequest.
+	MaxRequest time.Duration
+	// Lease returns the end of the home lease, with wall clock and monotonic reading. It must not block.
+	Lease func() time.Time
+	// OnReport is called from the dispatcher's goroutine with each report. It must not block. Default: none.
+	OnReport func(Report)
+	// Recorder takes events. Default: none.
+	Recorder timeline.Recorder
+	// QueuePerSubscriber and QueueTotal bound the queue. Defaults 256 and 4096 requests.
+	QueuePerSubscriber int
+	QueueTotal         int
+	// Identities bounds the remembered request identities. Default 100,000.
+	Identities int
+}
+
+func (c Config) withDefaults() Config {
+	c.Slots = max(c.Slots, 1)
+	if c.MaxRequest == 0 {
+		c.MaxRequest = DefaultMaxRequest
+	}
+	if c.QueuePerSubscriber == 0 {
+		c.QueuePerSubscriber = defaultQueuePerSubscriber
+	}
+	if c.QueueTotal == 0 {
+		c.QueueTotal = defaultQueueTotal
+	}
+	if c.Identities == 0 {
+		c.Identities = defaultIdentities
+	}
+	if c.Recorder == nil {
+		c.Recorder = timeline.Discard{}
+	}
+	if c.OnReport == nil {
+		c.OnReport = func(Report) {}
+	}
+	return c
+}
+
+// leaseEnd returns the time at which everything that the home causes ends.
+func (c *Config) leaseEnd() time.Time {
+	return c.Lease().Add(max(0, c.MaxRequest-DefaultMaxRequest))
+}
--- /dev/null
+++ b/internal/home/health.go
@@ -0,0 +1,164 @@
+package home
+
+import (
+	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/backend"
+)
+
+// Health is the dispatcher's judgement of its backend server.
+type Health string
+
+// Judgements.
+const (
+	HealthUp       Health = "up"
+	HealthDraining Health = "draining"
+	HealthDown     Health = "down"
+)
+
+const (
+	// failuresUntilDown is reached after 450 ms of failed renewals, within the 2 s for a lost owner.
+	failuresUntilDown = 3
+	// probesUntilUp is the number of successive good probes that end the state down.
+	probesUntilUp = 2
+	// ownEvidence is the time for which an answered request outweighs failed probes and bad reports.
+	ownEvidence = 500 * time.Millisecond
+	// trialBackoff is the first pause after a failed trial of a server that came back, and doubles.
+	trialBackoff    = 300 * time.Millisecond
+	maxTrialBackoff = 5 * time.Second
+	// DrainDispatch is the time for which a server that reports draining still gets requests, if it takes
+	// them. New work ends 3 s after the announcement.
+	DrainDispatch = 2500 * time.Millisecond
+)
+
+// healthState judges a backend server with hysteresis. Answered and failed requests count more than probes
+// and the server's own report, which lag and can be wrong in both directions.
+type healthState struct {
+	judgement Health
+	failures  int
+	good      int
+	// lastAnswer is the time of the last answered request.
+	lastAnswer time.Time
+	// trial is true until a server that came back has answered a request. It gets one at a time.
+	trial bool
+	// retryAt is the time before which a failed server is not tried again.
+	retryAt time.Time
+	backoff time.Duration
+	// drainSince is the time of the first report of draining, or zero.
+	drainSince time.Time
+	// refusedDraining is true once the server refused a request because it drains.
+	refusedDraining bool
+}
+
+func newHealthState() healthState {
+	return healthState{judgement: HealthUp, backoff: trialBackoff}
+}
+
+// answered records a request that the server answered.
+func (h *healthState) answered(now time.Time) {
+	h.lastAnswer = now
+	h.failures = 0
+	h.trial = false
+	h.backoff = trialBackoff
+	if h.judgement == HealthDown {
+		h.up()
+	}
+}
+
+// failed records a request that got no answer because of the server.
+func (h *healthState) failed(now time.Time) {
+	if h.trial {
+		h.down(now)
+		return
+	}
+	h.fail(now)
+}
+
+// probed records a probe or renewal. err is nil if the server answered.
+func (h *healthState) probed(now time.Time, report backend.Health, err error) {
+	if err != nil || report.State == backend.StateFailing {
+		h.good = 0
+		if now.Sub(h.lastAnswer) >= ownEvidence {
+			h.fail(now)
+		}
+		return
+	}
+	h.drained(now, report.State == backend.StateDraining)
+	if h.judgement != HealthDown {
+		// A good probe makes up for one failure only, so that a server that answers probes but no requests
+		// is found.
+		h.failures = max(0, h.failures-1)
+		return
+	}
+	h.good++
+	if h.good >= probesUntilUp && !now.Before(h.retryAt) {
+		h.up()
+		h.trial = true
+	}
+}
+
+func (h *healthState) drained(now time.Time, draining bool) {
+	switch {
+	case draining && h.drainSince.IsZero():
+		h.drainSince = now
+	case !draining:
+		h.drainSince = time.Time{}
+		h.refusedDraining = false
+	}
+	if h.judgement != HealthDown {
+		h.up()
+	}
+}
+
+// refusedToDrain records that the server refused a request because it drains.
+func (h *healthState) refusedToDrain(now time.Time) {
+	h.refusedDraining = true
+	if h.drainSince.IsZero() {
+		h.drainSince = now
+	}
+	if h.judgement != HealthDown {
+		h.judgement = HealthDraining
+	}
+}
+
+func (h *healthState) fail(now time.Time) {
+	h.failures++
+	if h.failures >= failuresUntilDown {
+		h.down(now)
+	}
+}
+
+func (h *healthState) down(now time.Time) {
+	if h.judgement == HealthDown {
+		return
+	}
+	h.judgement = HealthDown
+	h.good = 0
+	h.trial = false
+	h.retryAt = now.Add(h.backoff)
+	h.backoff = min(2*h.backoff, maxTrialBackoff)
+}
+
+func (h *healthState) up() {
+	h.judgement = HealthUp
+	h.failures = 0
+	if !h.drainSince.IsZero() {
+		h.judgement = HealthDraining
+	}
+}
+
+// usableSlots returns how many of the slots may be used.
+func (h *healthState) usableSlots(now time.Time, slots int) int {
+	switch {
+	case h.judgement == HealthDown:
+		return 0
+	case h.refusedDraining:
+		return 0
+	case !h.drainSince.IsZero() && now.Sub(h.drainSince) > DrainDispatch:
+		return 0
+	case h.trial:
+		return 1
+	default:
+		return slots
+	}
+}
--- /dev/null
+++ b/internal/standin/counters.go
@@ -0,0 +1,62 @@
+package standin
+
+// Counters is what the server saw.
+type Counters struct {
+	// Executions is the number of started executions.
+	Executions int
+	// Probes is the number of probes and grant calls.
+	Probes int
+	// Connections is the number of accepted connections.
+	Connections int
+	// OverSlots is the number of executions that started while all slots were taken.
+	OverSlots int
+	// MaxInProgress is the greatest number of executions at the same time.
+	MaxInProgress int
+	// Refused counts the refusals by reason.
+	Refused map[string]int
+}
+
+// Counters returns a copy of the counters.
+func (s *Server) Counters() Counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counters := s.counters
+	counters.Refused = make(map[string]int, len(s.counters.Refused))
+	for reason, n := range s.counters.Refused {
+		counters.Refused[reason] = n
+	}
+	return counters
+}
+
+// Runs returns how often the request with the given id was executed.
+func (s *Server) Runs(requestID string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[requestID]
+}
+
+// IdentityRuns returns how often requests with the given request identity of a subscriber were executed.
+func (s *Server) IdentityRuns(subscriber, identity string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.identityRuns[subscriber+"\x00"+identity]
+}
+
+// MostRuns returns the greatest number of executions of one request.
+func (s *Server) MostRuns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most := 0
+	for _, n := range s.runs {
+		most = max(most, n)
+	}
+	return most
+}
+
+// Forget drops the counts per request and identity.
+func (s *Server) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.runs)
+	clear(s.identityRuns)
+}
