node: assemble one gateway process; dev: run whole deployments

Cause: the parts existed apart; nothing served a request from end to end. Change: node joins traffic, control and homes; dev starts the store, backend servers and gateways of both examples, loses a gateway and a server, and checks every promise.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -103,8 +103,16 @@
 	}
 }
 
-// Report passes on what a home observed.
+// Report passes on what a home observed. It never blocks: homes repeat what matters with their next report.
 func (l *Loop) Report(r cell.Report) {
+	select {
+	case l.calls <- func() { l.applyCell(l.cell.Report(l.now(), r)) }:
+	default:
+	}
+}
+
+// Deliver passes on an observation that the home does not repeat. It must not be called from the loop's goroutine.
+func (l *Loop) Deliver(r cell.Report) {
 	l.call(func() { l.applyCell(l.cell.Report(l.now(), r)) })
 }
 
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -25,31 +25,23 @@
 
 func (l *Loop) receive(e *wire.Envelope) {
 	l.options.Clock.Observe(timeline.Timestamp(e.Time))
-	if e.Config != nil && e.GetExchange() == nil {
+	if e.Config != nil {
 		l.applyConfig(l.confs.PeerState(l.now(), e.From, fromWireState(e.Config)))
 	}
 	switch body := e.Body.(type) {
 	case *wire.Envelope_Control:
 		l.applyCell(l.cell.Receive(l.now(), e.From, body.Control))
-	case *wire.Envelope_Exchange:
-		l.receiveConfig(e.From, confsync.Exchange{
-			State:  fromWireState(e.Config),
-			Cell:   body.Exchange.Cell,
-			Holder: body.Exchange.Holder,
-			Reply:  body.Exchange.Reply,
-		})
-	case *wire.Envelope_Pull:
-		l.receiveConfig(e.From, confsync.Pull{Have: fromWireVersion(body.Pull.Have)})
-	case *wire.Envelope_Content:
-		l.receiveConfig(e.From, confsync.Content{
-			Version: fromWireVersion(body.Content.Version),
-			Base:    fromWireVersion(body.Content.Base),
-			Data:    body.Content.Data,
-		})
+	case *wire.Envelope_Confsync:
+		l.receiveConfig(e.From, body.Confsync)
 	}
 }
 
-func (l *Loop) receiveConfig(from string, m confsync.Message) {
+func (l *Loop) receiveConfig(from string, data []byte) {
+	m, err := confsync.Unmarshal(data)
+	if err != nil {
+		l.options.Log.WithError(err).Warn("Dropped a malformed configuration message.")
+		return
+	}
 	l.applyConfig(l.confs.Receive(l.now(), from, m))
 }
 
@@ -62,18 +54,12 @@
 }
 
 func (l *Loop) sendConfig(to string, m confsync.Message) {
-	e := new(wire.Envelope)
-	switch m := m.(type) {
-	case confsync.Exchange:
-		e.Config = toWireState(m.State)
-		e.Body = &wire.Envelope_Exchange{Exchange: &wire.ConfigExchange{Cell: m.Cell, Holder: m.Holder, Reply: m.Reply}}
-	case confsync.Pull:
-		e.Body = &wire.Envelope_Pull{Pull: &wire.ConfigPull{Have: toWireVersion(m.Have)}}
-	case confsync.Content:
-		content := &wire.ConfigContent{Version: toWireVersion(m.Version), Base: toWireVersion(m.Base), Data: m.Data}
-		e.Body = &wire.Envelope_Content{Content: content}
+	data, err := confsync.Marshal(m)
+	if err != nil {
+		l.options.Log.WithError(err).Error("Could not encode a configuration message.")
+		return
 	}
-	l.send(to, e)
+	l.send(to, &wire.Envelope{Body: &wire.Envelope_Confsync{Confsync: data}})
 }
 
 func (l *Loop) send(to string, e *wire.Envelope) {
--- a/internal/control/rebase.go
+++ b/internal/control/rebase.go
@@ -21,7 +21,7 @@
 	id, _, _ := strings.Cut(c.ID, rebaseMark)
 	c.Revision = revision
 	c.ID = id + rebaseMark + strconv.FormatUint(revision, 10)
-	data, err := config.Encode(c)
+	data, err := c.Encode()
 	if err != nil {
 		return confsync.Document{}, err
 	}
--- a/internal/dev/caller.go
+++ b/internal/dev/caller.go
@@ -4,15 +4,15 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
+	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/sapphireplank/sapphireplank/internal/gateway"
 	"github.com/sapphireplank/sapphireplank/internal/outcome"
+	"github.com/sapphireplank/sapphireplank/internal/standin"
 )
 
 // Caller sends requests over the balancer and records what it learns.
@@ -55,9 +55,11 @@
 		Idempotent: q.idempotent, Start: time.Now()}
 	ctx, cancel := context.WithTimeout(ctx, q.timeout+callerPatience)
 	defer cancel()
+	var written atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { written.Store(true) }})
 	response, err := c.client.Do(c.request(ctx, q))
 	if err != nil {
-		record.Result, record.Kind = brokenResult(err), "connection"
+		record.Result, record.Kind = brokenResult(written.Load()), "connection"
 	} else {
 		readResult(&record, response)
 	}
@@ -87,13 +89,13 @@
 	return r
 }
 
-// brokenResult says what a caller knows after a failed call. A connection that was refused carried nothing.
-func brokenResult(err error) Result {
-	var dial *net.OpError
-	if errors.As(err, &dial) && dial.Op == "dial" {
-		return ResultNotRun
+// brokenResult says what a caller knows after a failed call. The transport may have repeated an idempotent
+// request, so that the last error alone does not tell whether anything was sent.
+func brokenResult(written bool) Result {
+	if written {
+		return ResultUnknown
 	}
-	return ResultUnknown
+	return ResultNotRun
 }
 
 func readResult(record *Record, response *http.Response) {
@@ -107,13 +109,10 @@
 		readProblem(record, body)
 	default:
 		record.Result = ResultAnswered
-		record.Foreign = response.Header.Get(identityEcho) != record.Identity
+		record.Foreign = response.Header.Get(standin.HeaderIdentityEcho) != record.Identity
 	}
 }
 
-// identityEcho is the header in which the stand-in backend servers repeat the request identity.
-const identityEcho = "Standin-Identity"
-
 type problemDocument struct {
 	Type    string `json:"type"`
 	Outcome string `json:"outcome"`
--- a/internal/dev/profile.go
+++ b/internal/dev/profile.go
@@ -36,7 +36,7 @@
 const loadShare = 0.3
 
 // profiles derives the load from the configuration: light subscribers use a share of the capacity, and the heavy
-// one offers heavyFactor times the capacity of the first service.
+// one offers heavyFactor times the capacity of the services that are divided by key.
 func profiles(c *config.Config, serviceMillis, heavyFactor, scale float64) []profile {
 	list := make([]profile, 0, len(c.Services))
 	for i := range c.Services {
@@ -44,7 +44,7 @@
 		capacity := float64(len(s.Servers)*s.Slots) * 1000 / serviceMillis * scale
 		p := profile{service: s, rate: capacity * loadShare}
 		p.idempotent, p.single = operations(s)
-		if i == 0 {
+		if s.Keyed {
 			p.heavyRate = capacity * heavyFactor
 		}
 		list = append(list, p)
--- /dev/null
+++ b/internal/dev/program.go
@@ -0,0 +1,142 @@
+package dev
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/sapphireplank/sapphireplank/examples"
+	"github.com/sapphireplank/sapphireplank/internal/logging"
+	"github.com/sapphireplank/sapphireplank/internal/version"
+)
+
+// Exit codes.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// readyTimeout bounds the start of all deployments.
+const readyTimeout = 15 * time.Second
+
+// flagSet are the command line options.
+type flagSet struct {
+	Duration   time.Duration `long:"duration" default:"10s" description:"length of the run, as a duration with unit (10s, 1m)"`
+	Deployment []string      `long:"deployment" choice:"moravia" choice:"kyushu" description:"deployment to run; repeat for several (default: both)"`
+	Scale      float64       `long:"scale" default:"0.25" description:"load relative to the slot capacity of the backend servers, without unit"`
+	Heavy      float64       `long:"heavy" default:"1" description:"load of the heavy subscriber on the first service, relative to the scaled capacity, without unit"`
+	Seed       uint64        `long:"seed" default:"1" description:"seed of the random choices of callers and backend servers"`
+	Serve      bool          `long:"serve" description:"stay up without load, print the addresses, and end on SIGINT or SIGTERM"`
+	Events     string        `long:"events" description:"file for the events of all gateways, as JSON lines (default: none)"`
+	LogLevels  string        `long:"log" default:"error" description:"log levels, as LEVEL or PART=LEVEL, separated by commas"`
+	Version    bool          `long:"version" description:"print the version and exit"`
+}
+
+// Main runs the program and returns its exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	var f flagSet
+	parser := flags.NewParser(&f, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "plank-dev"
+	if _, err := parser.ParseArgs(args); err != nil {
+		return parseFailure(err, out, errOut)
+	}
+	if f.Version {
+		fmt.Fprintln(out, version.Line("plank-dev"))
+		return exitDone
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	violated, err := run(ctx, f, out)
+	if err != nil {
+		fmt.Fprintf(errOut, "plank-dev: %v\n", err)
+		return exitFailed
+	}
+	if violated {
+		return exitFailed
+	}
+	return exitDone
+}
+
+func parseFailure(err error, out, errOut io.Writer) int {
+	var flagsErr *flags.Error
+	if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
+		fmt.Fprintln(out, err)
+		return exitDone
+	}
+	fmt.Fprintf(errOut, "plank-dev: %v\n", err)
+	return exitUsage
+}
+
+func run(ctx context.Context, f flagSet, out io.Writer) (bool, error) {
+	levels, err := logging.ParseLevels(f.LogLevels)
+	if err != nil {
+		return false, err
+	}
+	events, closeEvents, err := openEvents(f.Events)
+	if err != nil {
+		return false, err
+	}
+	defer closeEvents()
+	names := f.Deployment
+	if len(names) == 0 {
+		names = []string{examples.Moravia, examples.Kyushu}
+	}
+	logs := logging.New(os.Stderr, levels)
+	deployments, err := startAll(ctx, names, logs, events, f.Seed)
+	defer closeAll(deployments)
+	if err != nil {
+		return false, err
+	}
+	if f.Serve {
+		return false, serve(ctx, deployments, out)
+	}
+	return runLoad(ctx, f, deployments, out), nil
+}
+
+func openEvents(name string) (io.Writer, func(), error) {
+	if name == "" {
+		return nil, func() {}, nil
+	}
+	file, err := os.Create(name)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "open the file for events; choose another --events")
+	}
+	return &lockedWriter{w: file}, func() { _ = file.Close() }, nil
+}
+
+func startAll(ctx context.Context, names []string, logs *logging.Logs, events io.Writer, seed uint64) ([]*Deployment, error) {
+	var deployments []*Deployment
+	for _, name := range names {
+		c, err := examples.Config(name)
+		if err != nil {
+			return deployments, err
+		}
+		d, err := StartDeployment(name, c, logs, events, seed)
+		if err != nil {
+			return deployments, err
+		}
+		deployments = append(deployments, d)
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, d := range deployments {
+		if err := d.WaitReady(ctx); err != nil {
+			return deployments, err
+		}
+	}
+	return deployments, nil
+}
+
+func closeAll(deployments []*Deployment) {
+	for _, d := range deployments {
+		d.Close()
+	}
+}
--- a/internal/dev/promises_test.go
+++ b/internal/dev/promises_test.go
@@ -11,7 +11,7 @@
 
 func at(millis int) time.Time { return epoch.Add(time.Duration(millis) * time.Millisecond) }
 
-func run(server, key, identity string, from, to int, seq uint64) Execution {
+func execution(server, key, identity string, from, to int, seq uint64) Execution {
 	return Execution{Server: server, Service: "s", Key: key, Identity: identity, Start: at(from), End: at(to),
 		Token: fence.Token{Seq: seq}}
 }
@@ -35,18 +35,18 @@
 		executions []Execution
 		want       string
 	}{
-		{"clean", []Record{{Identity: "a", Result: ResultAnswered}}, []Execution{run("x", "k", "a", 0, 5, 1), run("y", "k", "b", 5, 9, 2)}, ""},
-		{"ran twice", []Record{{Identity: "a"}}, []Execution{run("x", "k", "a", 0, 5, 1), run("x", "k", "a", 6, 9, 1)},
+		{"clean", []Record{{Identity: "a", Result: ResultAnswered}}, []Execution{execution("x", "k", "a", 0, 5, 1), execution("y", "k", "b", 5, 9, 2)}, ""},
+		{"ran twice", []Record{{Identity: "a"}}, []Execution{execution("x", "k", "a", 0, 5, 1), execution("x", "k", "a", 6, 9, 1)},
 			"a non-idempotent request runs at most once"},
-		{"not run but ran", []Record{{Identity: "a", Result: ResultNotRun}}, []Execution{run("x", "k", "a", 0, 5, 1)},
+		{"not run but ran", []Record{{Identity: "a", Result: ResultNotRun}}, []Execution{execution("x", "k", "a", 0, 5, 1)},
 			"a request refused as not run did not run"},
-		{"answered but did not run", []Record{{Identity: "a", Result: ResultAnswered}}, []Execution{run("x", "k", "b", 0, 5, 1)},
+		{"answered but did not run", []Record{{Identity: "a", Result: ResultAnswered}}, []Execution{execution("x", "k", "b", 0, 5, 1)},
 			"an answered request ran"},
-		{"foreign answer", []Record{{Identity: "a", Foreign: true}}, []Execution{run("x", "k", "a", 0, 5, 1)},
+		{"foreign answer", []Record{{Identity: "a", Foreign: true}}, []Execution{execution("x", "k", "a", 0, 5, 1)},
 			"every caller receives the answer to its own request"},
-		{"two owners", nil, []Execution{run("x", "k", "a", 0, 5, 1), run("y", "k", "b", 4, 9, 2)},
+		{"two owners", nil, []Execution{execution("x", "k", "a", 0, 5, 1), execution("y", "k", "b", 4, 9, 2)},
 			"no key is executed by two backend servers at a time"},
-		{"token goes back", nil, []Execution{run("x", "k", "a", 0, 5, 2), run("y", "k", "b", 6, 9, 1)},
+		{"token goes back", nil, []Execution{execution("x", "k", "a", 0, 5, 2), execution("y", "k", "b", 6, 9, 1)},
 			"a later owner of a key has a greater fencing token"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -60,7 +60,7 @@
 
 // Guards against a leaving server that still gets work.
 func TestCheckLeavingFindsLateWork(t *testing.T) {
-	executions := []Execution{run("x", "k", "a", 2900, 2950, 1), run("x", "k", "b", 3100, 3150, 1), run("y", "k", "c", 9000, 9001, 1)}
+	executions := []Execution{execution("x", "k", "a", 2900, 2950, 1), execution("x", "k", "b", 3100, 3150, 1), execution("y", "k", "c", 9000, 9001, 1)}
 	p := checkLeaving(executions, []LeaveCheck{{Server: "x", At: epoch}}, 3*time.Second)
 	if p.Violations != 1 {
 		t.Errorf("%d violations, want 1", p.Violations)
@@ -79,7 +79,7 @@
 		record(300, 5, ResultNotRun, "no-owner"),
 		record(700, 100, ResultAnswered, ""),
 		record(900, 5, ResultNotRun, "no-owner"),
-	}, at(1000))
+	}, map[string]bool{"s": true}, at(1000))
 	if want := 700 * time.Millisecond; u.Worst != want || u.Keys != 1 {
 		t.Errorf("unavailable %v in %d keys, want %v in 1", u.Worst, u.Keys, want)
 	}
--- /dev/null
+++ b/internal/dev/report.go
@@ -0,0 +1,172 @@
+package dev
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// latencies are recorded in microseconds, up to one minute.
+	maxLatencyMicros = 60_000_000
+	latencyDigits    = 3
+	// leaveBound is the time after which a leaving server must not get new work.
+	leaveBound = 3 * time.Second
+)
+
+// Report is the result of one run.
+type Report struct {
+	Deployment  string
+	Counts      [resultCount]int
+	Kinds       map[string]int
+	Light       *hdrhistogram.Histogram
+	Heavy       *hdrhistogram.Histogram
+	Imbalance   []Imbalance
+	Failures    failures
+	Moved       int
+	LeastMoved  int
+	Unavailable Unavailable
+	Promises    []Promise
+	StoreCalls  uint64
+	Requests    int
+	Duration    time.Duration
+}
+
+// newReport evaluates the records and executions of a run that began at start.
+func newReport(d *Deployment, f failures, start time.Time, duration time.Duration) *Report {
+	records, executions := d.Ledger.All(), d.Executions.All()
+	r := &Report{
+		Deployment: d.Name,
+		Kinds:      make(map[string]int),
+		Light:      hdrhistogram.New(1, maxLatencyMicros, latencyDigits),
+		Heavy:      hdrhistogram.New(1, maxLatencyMicros, latencyDigits),
+		Failures:   f,
+		StoreCalls: uint64(d.Store.Calls().Total()),
+		Requests:   len(records),
+		Duration:   duration,
+	}
+	for _, record := range records {
+		r.count(record)
+	}
+	for _, s := range d.Config.Services {
+		r.Imbalance = append(r.Imbalance, imbalance(s.Name, len(s.Servers), executions, start))
+	}
+	r.churn()
+	r.Unavailable = unavailableTime(lightRecords(records), d.keyedServices(), start.Add(duration))
+	r.Promises = d.promises(records, executions)
+	return r
+}
+
+func (r *Report) count(record Record) {
+	r.Counts[record.Result]++
+	if record.Result != ResultAnswered {
+		r.Kinds[record.Kind]++
+		return
+	}
+	histogram := r.Light
+	if record.Subscriber == heavySubscriber {
+		histogram = r.Heavy
+	}
+	// A latency above the range is an error of the histogram only; the request has its own timeout of 3 s.
+	_ = histogram.RecordValue(record.Took.Microseconds())
+}
+
+func lightRecords(records []Record) []Record {
+	light := make([]Record, 0, len(records))
+	for _, record := range records {
+		if record.Subscriber != heavySubscriber {
+			light = append(light, record)
+		}
+	}
+	return light
+}
+
+func (r *Report) churn() {
+	if r.Failures.before != nil && r.Failures.after != nil {
+		r.Moved, r.LeastMoved = r.Failures.before.moved(r.Failures.after, r.Failures.Server)
+	}
+}
+
+func (d *Deployment) promises(records []Record, executions []Execution) []Promise {
+	promises := checkExecutions(records, executions)
+	promises = append(promises, checkOwnership(executions, d.keyedServices())...)
+	slots := Promise{Name: "slots of a backend server are never exceeded", Checked: len(executions)}
+	if over := d.servers.overSlots(); over > 0 {
+		slots.Violations = over
+		slots.Example = "a backend server refused or queued work above its slots"
+	}
+	return append(promises, slots)
+}
+
+func (d *Deployment) keyedServices() map[string]bool {
+	keyed := make(map[string]bool)
+	for _, s := range d.Config.Services {
+		keyed[s.Name] = s.Keyed
+	}
+	return keyed
+}
+
+// Violated reports whether any promise was broken.
+func (r *Report) Violated() bool {
+	return slices.ContainsFunc(r.Promises, func(p Promise) bool { return p.Violations > 0 })
+}
+
+// Write prints the report as a table.
+func (r *Report) Write(w io.Writer) {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "\n%s\t%d requests in %s\n", r.Deployment, r.Requests, r.Duration)
+	for result, n := range r.Counts {
+		fmt.Fprintf(table, "  %s\t%d\n", Result(result), n)
+	}
+	for _, kind := range sortedKinds(r.Kinds) {
+		fmt.Fprintf(table, "    %s\t%d\n", kind, r.Kinds[kind])
+	}
+	writeLatency(table, "latency, light subscribers", r.Light)
+	writeLatency(table, "latency, heavy subscriber", r.Heavy)
+	fmt.Fprintf(table, "  service time\tmean %s, exponential\n", meanServiceTime)
+	for _, i := range r.Imbalance {
+		fmt.Fprintf(table, "  imbalance of %s\tmean %.2f, worst second %.2f\n", i.Service, i.Mean, i.Worst)
+	}
+	fmt.Fprintf(table, "  lost gateway\t%s\n", r.Failures.Gateway)
+	fmt.Fprintf(table, "  lost backend server\t%s\n", r.Failures.Server)
+	fmt.Fprintf(table, "  churn\t%d partitions moved, least possible %d\n", r.Moved, r.LeastMoved)
+	fmt.Fprintf(table, "  unavailable time\tworst key %s (%s), %d keys, sum %s\n",
+		r.Unavailable.Worst.Round(time.Millisecond), r.Unavailable.WorstKey, r.Unavailable.Keys,
+		r.Unavailable.Total.Round(time.Millisecond))
+	fmt.Fprintf(table, "  store calls\t%d\n", r.StoreCalls)
+	r.writePromises(table)
+	_ = table.Flush()
+}
+
+func (r *Report) writePromises(w io.Writer) {
+	sortPromises(r.Promises)
+	for _, p := range r.Promises {
+		fmt.Fprintf(w, "  promise: %s\t%d violations in %d cases\n", p.Name, p.Violations, p.Checked)
+		if p.Example != "" {
+			fmt.Fprintf(w, "    example\t%s\n", p.Example)
+		}
+	}
+}
+
+func writeLatency(w io.Writer, name string, h *hdrhistogram.Histogram) {
+	if h.TotalCount() == 0 {
+		return
+	}
+	quantile := func(q float64) time.Duration {
+		return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
+	}
+	fmt.Fprintf(w, "  %s\tp50 %s, p99 %s, p99.9 %s\n", name, quantile(50), quantile(99), quantile(99.9))
+}
+
+func sortedKinds(kinds map[string]int) []string {
+	names := make([]string, 0, len(kinds))
+	for name := range kinds {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/dev/run.go
@@ -0,0 +1,44 @@
+package dev
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+// runLoad runs all deployments at the same time and reports whether any promise was broken.
+func runLoad(ctx context.Context, f flagSet, deployments []*Deployment, out io.Writer) bool {
+	fmt.Fprintf(out, "running %d deployments for %s with seed %d\n", len(deployments), f.Duration, f.Seed)
+	reports := make([]*Report, len(deployments))
+	var wg sync.WaitGroup
+	for i, d := range deployments {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			reports[i] = d.Run(ctx, f.Duration, f.Scale, f.Heavy, f.Seed)
+		}()
+	}
+	wg.Wait()
+	violated := false
+	for _, r := range reports {
+		r.Write(out)
+		violated = violated || r.Violated()
+	}
+	return violated
+}
+
+// Run sends load to the deployment, loses a gateway and a backend server on the way, and evaluates the result.
+func (d *Deployment) Run(ctx context.Context, duration time.Duration, scale, heavy float64, seed uint64) *Report {
+	caller := NewCaller(d.Balancer, d.Ledger)
+	defer caller.Close()
+	ctx, cancel := context.WithTimeout(ctx, duration)
+	defer cancel()
+	start := time.Now()
+	lost := make(chan failures, 1)
+	go func() { lost <- d.inject(ctx, duration) }()
+	traffic := NewTraffic(caller, seed)
+	traffic.Run(ctx, profiles(d.Config, float64(meanServiceTime.Milliseconds()), heavy, scale))
+	return newReport(d, <-lost, start, duration)
+}
--- /dev/null
+++ b/internal/dev/servers.go
@@ -0,0 +1,99 @@
+package dev
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/config"
+	"github.com/sapphireplank/sapphireplank/internal/fence"
+	"github.com/sapphireplank/sapphireplank/internal/standin"
+)
+
+// meanServiceTime is the mean execution time of the stand-in backend servers.
+const meanServiceTime = 10 * time.Millisecond
+
+// servers are the stand-in backend servers of a deployment.
+type servers struct {
+	byName map[string]*standin.Server
+}
+
+// startServers listens on the address of each configured backend server.
+func startServers(c *config.Config, log *ExecutionLog, seed uint64) (*servers, error) {
+	s := &servers{byName: make(map[string]*standin.Server)}
+	for _, service := range c.Services {
+		for i, server := range service.Servers {
+			one := standin.New(standin.Options{
+				Name:           server.Name,
+				Slots:          service.Slots,
+				Fenced:         service.Fenced,
+				ConnectionCost: standin.DefaultConnectionCost,
+				ProbeCost:      standin.DefaultProbeCost,
+				ServiceTime:    meanServiceTime,
+				Exponential:    true,
+				Seed:           seed + uint64(i),
+				Observer:       newExecutionObserver(service.Name, log),
+			})
+			if _, err := one.Listen(server.Address); err != nil {
+				s.close()
+				return nil, err
+			}
+			s.byName[server.Name] = one
+		}
+	}
+	return s, nil
+}
+
+func (s *servers) close() {
+	for _, server := range s.byName {
+		server.Close()
+	}
+}
+
+// overSlots sums the executions that started while all slots of their server were taken.
+func (s *servers) overSlots() int {
+	total := 0
+	for _, server := range s.byName {
+		total += server.Counters().OverSlots
+	}
+	return total
+}
+
+// executionObserver turns the begin and end of executions into entries of the log.
+type executionObserver struct {
+	service string
+	log     *ExecutionLog
+
+	// mu protects the fields below.
+	mu      sync.Mutex
+	started map[standin.Execution]time.Time
+}
+
+func newExecutionObserver(service string, log *ExecutionLog) *executionObserver {
+	return &executionObserver{service: service, log: log, started: make(map[standin.Execution]time.Time)}
+}
+
+// Started notes the begin of an execution.
+func (o *executionObserver) Started(e standin.Execution) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.started[e] = time.Now()
+}
+
+// Ended adds the execution to the log.
+func (o *executionObserver) Ended(e standin.Execution) {
+	o.mu.Lock()
+	start := o.started[e]
+	delete(o.started, e)
+	o.mu.Unlock()
+	// Servers that do not check tokens receive none.
+	token, _ := fence.Parse(e.Token)
+	o.log.Add(Execution{
+		Server:   e.Server,
+		Service:  o.service,
+		Key:      e.Key,
+		Identity: e.Identity,
+		Token:    token,
+		Start:    start,
+		End:      time.Now(),
+	})
+}
--- a/internal/dev/unavailable.go
+++ b/internal/dev/unavailable.go
@@ -17,12 +17,16 @@
 	Keys int
 }
 
-// unavailableTime measures, for each key, the time from the first request that was not answered to the next one
+// unavailableTime measures, for each key of a keyed service and for each other service as a whole, the time from the first request that was not answered to the next one
 // that was. Refusals that the load itself causes do not count: the key was served, but not for this request.
-func unavailableTime(records []Record, end time.Time) Unavailable {
+func unavailableTime(records []Record, keyed map[string]bool, end time.Time) Unavailable {
 	byKey := make(map[string][]Record)
 	for _, r := range records {
-		byKey[r.Service+"/"+r.Key] = append(byKey[r.Service+"/"+r.Key], r)
+		name := r.Service
+		if keyed[r.Service] {
+			name += "/" + r.Key
+		}
+		byKey[name] = append(byKey[name], r)
 	}
 	var u Unavailable
 	for key, list := range byKey {
--- /dev/null
+++ b/internal/node/reports.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/cell"
+	"github.com/sapphireplank/sapphireplank/internal/home"
+)
+
+// reportConverter turns the reports of one dispatcher into reports for the cell.
+type reportConverter struct {
+	homes  *homes
+	server serverConfig
+}
+
+// convert is called on the dispatcher's goroutine.
+func (c *reportConverter) convert(r home.Report) {
+	service := c.server.service.Name
+	report := cell.Report{
+		Servers: []cell.ServerReport{{
+			Server:   r.Server,
+			Up:       r.Health != home.HealthDown,
+			GrantEnd: c.grantEnd(),
+		}},
+	}
+	for _, released := range r.Released {
+		report.Released = append(report.Released, cell.UnitRelease{
+			Service:   service,
+			Partition: released.Scope.Partition,
+			Key:       released.Scope.HotKey,
+			Token:     released.Token,
+		})
+	}
+	c.addLoad(&report, r)
+	c.homes.reports.Report(report)
+}
+
+// grantEnd bounds the end of everything that this home has caused on the server.
+func (c *reportConverter) grantEnd() time.Duration {
+	excess := time.Duration(c.server.service.MaxRequestMillis)*time.Millisecond - home.DefaultMaxRequest
+	return time.Duration(c.homes.leaseEnd.Load()) + max(0, excess)
+}
+
+func (c *reportConverter) addLoad(report *cell.Report, r home.Report) {
+	service := c.server.service.Name
+	total := 0.0
+	for _, load := range r.Loads {
+		slots := load.SlotTime.Seconds() / home.LoadInterval.Seconds()
+		total += slots
+		if load.Scope.HotKey != "" {
+			report.HotKeys = append(report.HotKeys, cell.KeyLoad{Service: service, Key: load.Scope.HotKey, Load: slots})
+			continue
+		}
+		report.Load = append(report.Load, cell.PartitionLoad{Service: service, Partition: load.Scope.Partition, Load: slots})
+	}
+	for _, key := range r.HotKeys {
+		slots := float64(key.Requests) * r.ServiceTime.Seconds() / home.LoadInterval.Seconds()
+		report.HotKeys = append(report.HotKeys, cell.KeyLoad{Service: service, Key: key.Key, Load: slots})
+	}
+	if len(r.Loads) > 0 {
+		report.ServerLoad = []cell.ServerLoad{{Server: r.Server, Load: total}}
+	}
+}
--- a/internal/standin/request.go
+++ b/internal/standin/request.go
@@ -9,11 +9,17 @@
 	"github.com/sapphireplank/sapphireplank/internal/backend"
 )
 
-// idempotencyKey is the header with the request identity.
-const idempotencyKey = "Idempotency-Key"
+const (
+	// idempotencyKey is the header with the request identity.
+	idempotencyKey = "Idempotency-Key"
+	// HeaderIdentityEcho repeats the request identity in each answer, so that a caller can tell whether the
+	// answer is its own.
+	HeaderIdentityEcho = "Standin-Identity"
+)
 
 func (s *Server) request(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(backend.HeaderRequestID, r.Header.Get(backend.HeaderRequestID))
+	w.Header().Set(HeaderIdentityEcho, r.Header.Get(idempotencyKey))
 	fault := s.faultOf(r, reused(r.Context()))
 	if fault == FaultCloseBefore {
 		closeConnection(w)
