cell: add state machine of holder, successor, arbiter and homes

The package implements rules A1 to A8 and H1 to H7 of docs/design.md as a pure state machine, with the control messages in package wire.

--- /dev/null
+++ b/internal/cell/arbiter.go
@@ -0,0 +1,145 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sapphireplank/sapphireplank/internal/store"
+	"github.com/sapphireplank/sapphireplank/internal/wire"
+)
+
+// claimID names one dispute: the term, and the choice of the arbiter within it.
+type claimID struct {
+	Epoch
+	arbiterSeq uint64
+}
+
+func (id claimID) compare(other claimID) int {
+	return cmp.Or(id.Epoch.Compare(other.Epoch), cmp.Compare(id.arbiterSeq, other.arbiterSeq))
+}
+
+type registerEntry struct {
+	id     claimID
+	winner Member
+}
+
+// Register is what an arbiter remembers of one cell: the first claim for each of the latest terms. It is the
+// same whether the arbiter is a gateway or the store.
+type Register struct {
+	// floor is the greatest forgotten claim; claims up to it are refused.
+	floor   claimID
+	entries []registerEntry
+}
+
+// decide returns the winner of id: the first claimant (A3), or no member if the claim is too old to decide.
+func (r *Register) decide(id claimID, claimant Member) Member {
+	for _, e := range r.entries {
+		if e.id == id {
+			return e.winner
+		}
+	}
+	if id.compare(r.floor) <= 0 {
+		return Member{}
+	}
+	r.entries = append(r.entries, registerEntry{id: id, winner: claimant})
+	slices.SortFunc(r.entries, func(a, b registerEntry) int { return a.id.compare(b.id) })
+	if len(r.entries) > maxRegisterEntries {
+		r.floor = r.entries[0].id
+		r.entries = r.entries[1:]
+	}
+	return claimant
+}
+
+// marshal returns the register as the store keeps it.
+func (r *Register) marshal() []byte {
+	w := &wire.ClaimRegister{Floor: entryToWire(registerEntry{id: r.floor})}
+	for _, e := range r.entries {
+		w.Entries = append(w.Entries, entryToWire(e))
+	}
+	// Marshal cannot fail: the message has no required fields and its strings are valid.
+	value, _ := proto.MarshalOptions{Deterministic: true}.Marshal(w)
+	return value
+}
+
+func parseRegister(value []byte) (*Register, error) {
+	w := &wire.ClaimRegister{}
+	if err := proto.Unmarshal(value, w); err != nil {
+		return nil, errors.Wrap(err, "parse register of claims")
+	}
+	r := &Register{floor: entryFrom(w.Floor).id}
+	for _, e := range w.Entries {
+		r.entries = append(r.entries, entryFrom(e))
+	}
+	return r, nil
+}
+
+func entryToWire(e registerEntry) *wire.ClaimEntry {
+	return &wire.ClaimEntry{
+		Generation: e.id.Generation, Term: e.id.Term, ArbiterSeq: e.id.arbiterSeq, Winner: e.winner.toWire(),
+	}
+}
+
+func entryFrom(w *wire.ClaimEntry) registerEntry {
+	return registerEntry{
+		id:     claimID{Epoch: Epoch{Generation: w.GetGeneration(), Term: w.GetTerm()}, arbiterSeq: w.GetArbiterSeq()},
+		winner: memberFrom(w.GetWinner()),
+	}
+}
+
+// DecideInStore applies a claim to the value that the store has for a cell's claims. It returns the winner and the
+// value to write, or nil if the value needs no change.
+func DecideInStore(value []byte, epoch Epoch, arbiterSeq uint64, claimant Member) (Member, []byte, error) {
+	r, err := parseRegister(value)
+	if err != nil {
+		return Member{}, nil, err
+	}
+	winner := r.decide(claimID{Epoch: epoch, arbiterSeq: arbiterSeq}, claimant)
+	if after := r.marshal(); string(after) != string(value) {
+		return winner, after, nil
+	}
+	return winner, nil, nil
+}
+
+// onClaim decides a claim as arbiter. Receive refuses claims for another incarnation (A7).
+func (n *Node) onClaim(from Member, epoch Epoch, c *wire.Claim) {
+	r, ok := n.arbiter[c.Cell]
+	if !ok {
+		r = &Register{}
+		n.arbiter[c.Cell] = r
+	}
+	winner := r.decide(claimID{Epoch: epoch, arbiterSeq: c.ArbiterSeq}, from)
+	if n.faults.grantEveryClaim {
+		winner = from
+	}
+	n.sendAs(from, epoch, &wire.Control{Body: &wire.Control_Decision{
+		Decision: &wire.Decision{ArbiterSeq: c.ArbiterSeq, Attempt: c.Attempt, Winner: winner.toWire()},
+	}})
+}
+
+// claimInStore decides a claim with the store as arbiter. A lost response is resolved by the next repeat of the
+// claim, which reads the register back.
+func (n *Node) claimInStore(now time.Duration, epoch Epoch, arbiterSeq, attempt uint64) {
+	n.storeGet(now, n.claimsKey(), func(now time.Duration, r StoreResult) {
+		if r.Err != nil && !errors.Is(r.Err, store.ErrNotFound) {
+			return
+		}
+		winner, value, err := DecideInStore(r.Entry.Value, epoch, arbiterSeq, n.self)
+		if err != nil {
+			n.event("cell/register-unreadable", "", err.Error())
+			return
+		}
+		if value == nil {
+			n.decided(now, Member{Host: StoreArbiter}, epoch, arbiterSeq, attempt, winner)
+			return
+		}
+		n.storeSwap(now, n.claimsKey(), r.Entry.Version, value, func(now time.Duration, r StoreResult) {
+			if r.Err == nil {
+				n.decided(now, Member{Host: StoreArbiter}, epoch, arbiterSeq, attempt, winner)
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/cell/faults.go
@@ -0,0 +1,26 @@
+package cell
+
+// faults disables one safety rule each, so that a test can show that the checker notices. It is never set
+// outside tests.
+type faults struct {
+	// actBeyondLease breaks A1: the holder acts after its lease.
+	actBeyondLease bool
+	// claimAtOnce breaks A2: the successor claims without its wait.
+	claimAtOnce bool
+	// grantEveryClaim breaks A3: the arbiter grants each claim.
+	grantEveryClaim bool
+	// newArbiterOnly breaks A6: the holder relies on the proposed arbiter before the acknowledgement.
+	newArbiterOnly bool
+	// noRecoveryWait breaks the wait of A8.
+	noRecoveryWait bool
+	// noPoll breaks the condition of A8: recovery does not ask the members.
+	noPoll bool
+	// leaseFromReceipt breaks H1: the home lease counts from the receipt of the reply.
+	leaseFromReceipt bool
+	// noHomeWait breaks H3: servers of a silent home move at once.
+	noHomeWait bool
+	// noRelease breaks H4: a partition moves without a release.
+	noRelease bool
+	// acceptOldTerms breaks the rule that messages of a lower generation and term are ignored.
+	acceptOldTerms bool
+}
--- /dev/null
+++ b/internal/cell/gateway_test.go
@@ -0,0 +1,187 @@
+package cell
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sapphireplank/sapphireplank/internal/config"
+	"github.com/sapphireplank/sapphireplank/internal/fence"
+	"github.com/sapphireplank/sapphireplank/internal/store"
+	"github.com/sapphireplank/sapphireplank/internal/wire"
+)
+
+// gateway is one process with its clocks and its fake homes.
+type gateway struct {
+	world   *world
+	host    string
+	node    *Node
+	started time.Duration
+	rate    float64
+	skew    time.Duration
+	down    bool
+	paused  bool
+	inbox   []func() Output
+	checked [2]uint64
+
+	health    map[string]bool
+	releasing map[unit]fence.Token
+	serverOut map[string]fence.Token
+}
+
+// start begins a process of host with a new incarnation and another clock.
+func (w *world) start(host string) *gateway {
+	g := &gateway{
+		world: w, host: host, started: w.now, skew: w.skew(),
+		rate:   1 + (w.rng.Float64()-0.5)*0.0098,
+		health: make(map[string]bool), releasing: make(map[unit]fence.Token), serverOut: make(map[string]fence.Token),
+	}
+	g.node = NewNode(NodeConfig{
+		Host: host, Incarnation: w.rng.Uint64() | 1, WallStart: time.Unix(0, 0).Add(w.now), Assign: assignWithKeys,
+		Random: rand.New(rand.NewPCG(w.rng.Uint64(), 1)),
+	})
+	g.node.faults = w.faults
+	w.gateways[host] = g
+	g.configure(w.config)
+	w.after(time.Duration(w.rng.Int64N(int64(TickInterval))), g.tick)
+	return g
+}
+
+func (g *gateway) configure(c *config.Config) {
+	g.do(func() Output { return g.node.Configure(g.local(), c) })
+}
+
+// local returns the monotonic clock of the process.
+func (g *gateway) local() time.Duration {
+	return time.Duration(float64(g.world.now-g.started) * g.rate)
+}
+
+// crash ends the process. What its servers were allowed to do stays in force until it expires.
+func (g *gateway) crash() {
+	g.down = true
+	g.world.logf("%s crashes", g.host)
+}
+
+func (g *gateway) pause() {
+	g.paused = true
+	g.world.logf("%s pauses", g.host)
+}
+
+// wake handles everything that queued up during the pause, in random order and with the clock far ahead.
+func (g *gateway) wake() {
+	if !g.paused || g.down {
+		return
+	}
+	g.paused = false
+	g.world.logf("%s wakes", g.host)
+	inbox := g.inbox
+	g.inbox = nil
+	g.world.rng.Shuffle(len(inbox), func(i, j int) { inbox[i], inbox[j] = inbox[j], inbox[i] })
+	for _, step := range inbox {
+		g.do(step)
+	}
+}
+
+func (g *gateway) tick() {
+	if g.down {
+		return
+	}
+	if !g.paused {
+		g.do(func() Output { return g.node.Tick(g.local()) })
+		g.runHomes()
+	}
+	g.world.after(TickInterval-time.Duration(g.world.rng.Int64N(int64(10*ms))), g.tick)
+}
+
+// do runs one step of the node, or queues it while the process is paused.
+func (g *gateway) do(step func() Output) {
+	if g.down {
+		return
+	}
+	if g.paused {
+		if len(g.inbox) < 200 {
+			g.inbox = append(g.inbox, step)
+		}
+		return
+	}
+	out := step()
+	w := g.world
+	for _, e := range out.Events {
+		w.logf("%s %s %s %s", g.host, e.Kind, e.Server, e.Detail)
+	}
+	for _, e := range out.Send {
+		m := e.Message
+		if w.rng.Float64() < 0.02 {
+			data, err := proto.Marshal(m)
+			m = &wire.Control{}
+			if err != nil || proto.Unmarshal(data, m) != nil {
+				w.violate("message does not survive its encoding: %v", err)
+			}
+		}
+		w.deliver(g.host, e.To, m)
+	}
+	for _, r := range out.Store {
+		w.store.call(g, r)
+	}
+	if out.Changed {
+		w.checkTable(g)
+		if g.node.cell == "c1" {
+			g.runHomes()
+		}
+	}
+}
+
+// fakeStore is the platform's store with outages and lost responses.
+type fakeStore struct {
+	world  *world
+	values map[string]fakeEntry
+	up     bool
+	// lost is the probability that a response is lost.
+	lost float64
+}
+
+type fakeEntry struct {
+	value   []byte
+	version uint64
+}
+
+func (s *fakeStore) call(g *gateway, r StoreRequest) {
+	w := s.world
+	delay := func() time.Duration {
+		if w.rng.Float64() < w.slow {
+			return time.Duration(w.rng.Int64N(int64(2500 * ms)))
+		}
+		return time.Duration(w.rng.Int64N(int64(5 * ms)))
+	}
+	w.after(delay(), func() {
+		result := StoreResult{ID: r.ID, Err: store.ErrUnavailable}
+		if s.up && !w.blocked[[2]string{g.host, StoreArbiter}] {
+			result = s.answer(r)
+		}
+		switch lost := w.rng.Float64(); {
+		case lost < s.lost/2:
+			return
+		case lost < s.lost:
+			result = StoreResult{ID: r.ID, Err: store.ErrUnavailable}
+		}
+		w.after(delay(), func() { g.do(func() Output { return g.node.StoreResult(g.local(), result) }) })
+	})
+}
+
+func (s *fakeStore) answer(r StoreRequest) StoreResult {
+	e, ok := s.values[r.Key]
+	result := StoreResult{ID: r.ID}
+	switch {
+	case r.Write && e.version != r.Version:
+		result.Err = store.ErrConflict
+		return result
+	case r.Write:
+		e = fakeEntry{value: r.Value, version: e.version + 1}
+		s.values[r.Key] = e
+	case !ok:
+		result.Err = store.ErrNotFound
+	}
+	result.Entry = store.Entry{Key: r.Key, Value: e.value, Version: e.version}
+	return result
+}
--- /dev/null
+++ b/internal/cell/node.go
@@ -0,0 +1,305 @@
+package cell
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/looplab/fsm"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sapphireplank/sapphireplank/internal/config"
+	"github.com/sapphireplank/sapphireplank/internal/timeline"
+	"github.com/sapphireplank/sapphireplank/internal/wire"
+)
+
+// NodeConfig holds what a Node needs at the start.
+type NodeConfig struct {
+	// Host is the name of the gateway's host in the configuration.
+	Host string
+	// Incarnation is the random value of this process. It must not be 0.
+	Incarnation uint64
+	// WallStart is the wall clock time at monotonic time 0. Only planned stops depend on it.
+	WallStart time.Time
+	// Random is the source of random delays.
+	Random *rand.Rand
+	// Assign is the assignment policy. Default: AssignEvenly.
+	Assign AssignFunc
+}
+
+// Envelope is a message to the gateway of a host.
+type Envelope struct {
+	To      string
+	Message *wire.Control
+}
+
+// Output is the result of one step. The caller sends, stores and records everything in it.
+type Output struct {
+	Send   []Envelope
+	Store  []StoreRequest
+	Events []timeline.Event
+	// Changed is true if Snapshot returns another view than before the step.
+	Changed bool
+}
+
+// Node is the control state of one gateway in its cell. It is not safe for concurrent use.
+type Node struct {
+	self      Member
+	wallStart time.Time
+	random    *rand.Rand
+	assign    AssignFunc
+	ownership ownershipMachine
+
+	cell   string
+	config *config.Config
+	hosts  []config.Host
+
+	role *fsm.FSM
+	// pair is the newest pair that this gateway knows.
+	pair Pair
+	// promised is the generation below which this gateway takes no authority (A8).
+	promised   uint64
+	promisedTo Member
+	// table is the table that this gateway's traffic reads.
+	table        *table
+	acknowledged uint64
+
+	local     *localHome
+	contact   contact
+	holder    *holderState
+	successor *successorState
+	handover  *handoverState
+	recovery  recovery
+	arbiter   map[string]*Register
+	store     storeCalls
+
+	leaving  bool
+	snapshot *Snapshot
+	changed  bool
+	out      Output
+	counters Counters
+	faults   faults
+}
+
+// NewNode returns the node of a process that has just started.
+func NewNode(c NodeConfig) *Node {
+	if c.Assign == nil {
+		c.Assign = AssignEvenly
+	}
+	n := &Node{
+		self:      Member{Host: c.Host, Incarnation: c.Incarnation},
+		wallStart: c.WallStart,
+		random:    c.Random,
+		assign:    c.Assign,
+		ownership: newOwnershipMachine(),
+		role:      newRoleMachine(),
+		table:     newTable(),
+		local:     newLocalHome(),
+		arbiter:   make(map[string]*Register),
+		store:     newStoreCalls(),
+		snapshot:  &Snapshot{Role: RoleStarting},
+	}
+	return n
+}
+
+// Role returns the part of this gateway in the cell.
+func (n *Node) Role() Role { return Role(n.role.Current()) }
+
+// Pair returns the newest pair that this gateway knows.
+func (n *Node) Pair() Pair { return n.pair }
+
+// Snapshot returns the current view. It is immutable.
+func (n *Node) Snapshot() *Snapshot { return n.snapshot }
+
+// Counters returns the traffic of this node so far.
+func (n *Node) Counters() Counters { return n.counters }
+
+// Acting reports whether this gateway may act as the authority of the cell at now (A1).
+func (n *Node) Acting(now time.Duration) bool {
+	if n.holder == nil {
+		return false
+	}
+	return now < n.holder.authorityEnd || n.faults.actBeyondLease
+}
+
+// Left reports whether a leaving gateway has handed over its homes and its authority.
+func (n *Node) Left() bool {
+	if !n.leaving || n.holder != nil || n.successor != nil && n.successor.claim != nil {
+		return false
+	}
+	for _, entry := range n.table.servers {
+		if entry.home == n.self {
+			return false
+		}
+	}
+	return n.handover == nil
+}
+
+// Tick does what is due at now. Call it at least once per TickInterval.
+func (n *Node) Tick(now time.Duration) Output {
+	if n.config != nil && n.Role() != RoleStopped {
+		n.tickStore(now)
+		n.tickContact(now)
+		n.tickHandover(now)
+		n.tickSuccessor(now)
+		n.tickHolder(now)
+		n.tickRecovery(now)
+	}
+	return n.finish(now)
+}
+
+// Receive handles a message from the gateway of host from.
+func (n *Node) Receive(now time.Duration, from string, m *wire.Control) Output {
+	n.counters.ReceivedMessages++
+	n.counters.ReceivedBytes += uint64(proto.Size(m) + frameOverhead)
+	if n.config == nil || n.Role() == RoleStopped || m.ToIncarnation != 0 && m.ToIncarnation != n.self.Incarnation {
+		return n.finish(now)
+	}
+	n.dispatch(now, Member{Host: from, Incarnation: m.FromIncarnation}, m)
+	return n.finish(now)
+}
+
+func (n *Node) dispatch(now time.Duration, from Member, m *wire.Control) {
+	epoch := Epoch{Generation: m.Generation, Term: m.Term}
+	switch body := m.Body.(type) {
+	case *wire.Control_Heartbeat:
+		n.onHeartbeat(now, from, epoch, body.Heartbeat)
+	case *wire.Control_HeartbeatReply:
+		n.onHeartbeatReply(now, from, epoch, body.HeartbeatReply)
+	case *wire.Control_Renew:
+		n.onRenew(now, from, epoch, body.Renew)
+	case *wire.Control_RenewAck:
+		n.onRenewAck(now, from, epoch, body.RenewAck)
+	case *wire.Control_Claim:
+		n.onClaim(from, epoch, body.Claim)
+	case *wire.Control_Decision:
+		n.onDecision(now, from, epoch, body.Decision)
+	case *wire.Control_Handover:
+		n.onHandover(now, from, epoch)
+	case *wire.Control_Locate:
+		n.onLocate(from)
+	case *wire.Control_Located:
+		n.onLocated(now, pairFrom(body.Located.Pair))
+	case *wire.Control_Poll:
+		n.onPoll(now, from, m.Revision, body.Poll)
+	case *wire.Control_PollAnswer:
+		n.onPollAnswer(now, from, body.PollAnswer)
+	case *wire.Control_Probe:
+		n.send(from, &wire.Control{Body: &wire.Control_ProbeAnswer{ProbeAnswer: &wire.ProbeAnswer{}}})
+	case *wire.Control_ProbeAnswer:
+		n.onProbeAnswer(now, from)
+	}
+}
+
+// Configure puts a configuration in force. A smaller revision than the current one is ignored (I8).
+func (n *Node) Configure(now time.Duration, c *config.Config) Output {
+	if n.config != nil && c.Revision < n.config.Revision {
+		return n.finish(now)
+	}
+	n.config = c
+	host, ok := c.Host(n.self.Host)
+	if ok && n.cell == "" {
+		n.cell = host.Cell
+	}
+	if !ok && n.cell != "" {
+		n.leaving = true
+	}
+	n.hosts = c.CellHosts(n.cell)
+	if n.holder != nil {
+		n.holder.planDue = true
+	}
+	return n.finish(now)
+}
+
+// Report takes what the local homes observed.
+func (n *Node) Report(now time.Duration, r Report) Output {
+	if n.local.take(now, r, n.table, n.self) {
+		n.changed = true
+	}
+	n.updateSnapshot()
+	if n.Acting(now) {
+		n.selfHeartbeat(now)
+	} else if r.urgent() {
+		n.sendHeartbeat(now)
+	}
+	return n.finish(now)
+}
+
+// Leave starts the planned stop of this gateway. Left reports its end.
+func (n *Node) Leave(now time.Duration) Output {
+	n.leaving = true
+	if n.holder != nil {
+		n.holder.planDue = true
+	}
+	n.sendHeartbeat(now)
+	return n.finish(now)
+}
+
+// Stop ends all parts of this gateway. Its local home lease ends at once.
+func (n *Node) Stop(now time.Duration) Output {
+	n.fire(eventStop)
+	n.holder, n.successor, n.handover = nil, nil, nil
+	n.local.leaseEnd = min(n.local.leaseEnd, now)
+	n.changed = true
+	return n.finish(now)
+}
+
+func (n *Node) finish(now time.Duration) Output {
+	if n.holder != nil {
+		n.advance(now)
+	}
+	n.updateSnapshot()
+	out := n.out
+	n.out = Output{}
+	return out
+}
+
+func (n *Node) fire(event string) {
+	if err := fire(n.role, event); err != nil {
+		n.event("cell/invalid-transition", "", err.Error())
+		return
+	}
+	n.changed = true
+}
+
+func (n *Node) event(kind timeline.Kind, server, detail string) {
+	n.out.Events = append(n.out.Events, timeline.Event{Kind: kind, Host: n.self.Host, Cell: n.cell, Server: server, Detail: detail})
+}
+
+// send addresses m to one process. The header carries the newest pair that this gateway knows.
+func (n *Node) send(to Member, m *wire.Control) {
+	n.sendAs(to, n.pair.Epoch, m)
+}
+
+func (n *Node) sendAs(to Member, epoch Epoch, m *wire.Control) {
+	if to.Host == n.self.Host || to.Host == "" {
+		return
+	}
+	m.FromIncarnation = n.self.Incarnation
+	m.ToIncarnation = to.Incarnation
+	m.Revision = n.config.Revision
+	m.Generation, m.Term = epoch.Generation, epoch.Term
+	n.out.Send = append(n.out.Send, Envelope{To: to.Host, Message: m})
+	n.counters.SentMessages++
+	n.counters.SentBytes += uint64(proto.Size(m) + frameOverhead)
+}
+
+// sendToCell addresses a message to each other configured gateway of the cell.
+func (n *Node) sendToCell(build func() *wire.Control) {
+	for _, host := range n.hosts {
+		n.send(Member{Host: host.Name}, build())
+	}
+}
+
+func (n *Node) isConfigured(host string) bool {
+	return slices.ContainsFunc(n.hosts, func(h config.Host) bool { return h.Name == host })
+}
+
+func (n *Node) rack(host string) string {
+	for _, h := range n.hosts {
+		if h.Name == host && h.Rack != "" {
+			return h.Rack
+		}
+	}
+	return host
+}
--- /dev/null
+++ b/internal/cell/report.go
@@ -0,0 +1,67 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/fence"
+	"github.com/sapphireplank/sapphireplank/internal/keyspace"
+)
+
+// Report is what the local homes observed since the previous report.
+type Report struct {
+	Servers         []ServerReport
+	Released        []UnitRelease
+	ReleasedServers []ServerRelease
+	Load            []PartitionLoad
+	HotKeys         []KeyLoad
+	ServerLoad      []ServerLoad
+}
+
+// ServerReport is the health of one backend server whose home is this gateway.
+type ServerReport struct {
+	Server string
+	Up     bool
+	// GrantEnd is the monotonic time at which the last grant, or the last deadline of a dispatched request, on the
+	// server expires. The home must not set grants or dispatch to the server after it reported it down, until the
+	// snapshot shows partitions of the server that are not releasing.
+	GrantEnd time.Duration
+}
+
+// UnitRelease says that the home no longer executes a partition, or an override if Key is set, under Token.
+type UnitRelease struct {
+	Service   string
+	Partition keyspace.Partition
+	Key       string
+	Token     fence.Token
+}
+
+// ServerRelease says that the home no longer uses a backend server under Token.
+type ServerRelease struct {
+	Server string
+	Token  fence.Token
+}
+
+// PartitionLoad is the share of slot time of one partition, in slots.
+type PartitionLoad struct {
+	Service   string
+	Partition keyspace.Partition
+	Load      float64
+}
+
+// KeyLoad is the share of slot time of one hot key, in slots.
+type KeyLoad struct {
+	Service string
+	Key     string
+	Load    float64
+}
+
+// ServerLoad is the use of one backend server, in slots.
+type ServerLoad struct {
+	Server string
+	Load   float64
+}
+
+// urgent reports whether the holder should learn of the report before the next heartbeat.
+func (r Report) urgent() bool {
+	return len(r.Servers)+len(r.Released)+len(r.ReleasedServers) > 0
+}
--- a/internal/cell/snapshot.go
+++ b/internal/cell/snapshot.go
@@ -1,5 +1,12 @@
 // Package cell decides ownership within a cell. It is a pure state machine: it has no clock, network or
 // goroutine, and takes monotonic time as an argument.
+//
+// One goroutine owns a Node. It calls Configure with each accepted configuration, Tick at least once per
+// TickInterval, Receive for each message of another gateway, Report for what the local homes observe, and StoreResult
+// for each finished StoreRequest. Every call takes the monotonic time since the start of the process and returns an
+// Output: messages to send to hosts, calls of the store to make, events to record, and whether Snapshot returns a new
+// view. The caller publishes the snapshot to the traffic. Homes compare HomeLeaseEnd with their own clock right before
+// each dispatch. A planned stop is Leave, then waiting for Left, then Stop.
 package cell
 
 import (
@@ -21,6 +28,13 @@
 	Successor string
 	// Arbiter is the host that settles a dispute, "store", or "".
 	Arbiter string
+	// Role is the part of this gateway in the cell.
+	Role Role
+	// Version is the version of the table within its generation.
+	Version uint64
+	// Acknowledged is the version through which assignments survive the loss of one gateway (H7). Greater
+	// versions are provisional.
+	Acknowledged uint64
 	// HomeLeaseEnd is the end of this gateway's home lease, in monotonic time since process start.
 	HomeLeaseEnd time.Duration
 	// Servers holds each backend server of the cell by name.
@@ -44,8 +58,14 @@
 	Name    string
 	Service string
 	// Home is the host of the gateway that talks to the server, or "" while it has none.
-	Home  string
-	State ServerState
+	Home string
+	// Local is true if this process is the home, and not an earlier one on the same host.
+	Local bool
+	// Token orders the homes of the server. A release of the server repeats it.
+	Token fence.Token
+	// Releasing is true while the home must stop using the server, withdraw its grants and report the release.
+	Releasing bool
+	State     ServerState
 }
 
 // ServiceView is the ownership of the partitions of one service within the cell.
--- /dev/null
+++ b/internal/cell/units.go
@@ -0,0 +1,173 @@
+package cell
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/config"
+	"github.com/sapphireplank/sapphireplank/internal/keyspace"
+)
+
+// keyLoadRow is the last report on one hot key.
+type keyLoadRow struct {
+	load float64
+	at   time.Duration
+}
+
+// partitionOf returns the partition that contains a key.
+func (n *Node) partitionOf(u unit) unit {
+	count := len(n.holder.ledger.table.services[u.service].owners)
+	return unit{service: u.service, partition: keyspace.Of(u.key, count)}
+}
+
+// planUnits asks the assignment policy for the owners of one service and starts the moves towards them.
+func (n *Node) planUnits(now time.Duration, s *config.Service) {
+	h := n.holder
+	t := h.ledger.table.services[s.Name]
+	placement := n.placement(s)
+	if placement == nil || len(t.owners) != s.Partitions {
+		return
+	}
+	request := n.assignRequest(now, s, t, placement)
+	result := n.assign(request)
+	d := &desiredOwners{servers: request.Servers, owners: result.Owners, keys: make(map[string]string)}
+	for p := range d.owners {
+		if !request.Placed[p] {
+			d.owners[p] = Unowned
+		}
+	}
+	for _, k := range result.Keys {
+		if len(d.keys) < maxOverrides {
+			d.keys[k.Key] = request.Servers[k.Server].Name
+		}
+	}
+	h.desired[s.Name] = d
+	n.moveKeys(s.Name, t, d)
+	n.movePartitions(s.Name, d)
+}
+
+func (n *Node) assignRequest(now time.Duration, s *config.Service, t *serviceTable, placement *config.Placement) AssignRequest {
+	h := n.holder
+	r := AssignRequest{
+		Now: now, Service: s.Name, Preference: string(n.config.Preference),
+		Previous: make([]int, len(t.owners)), Placed: make([]bool, len(t.owners)),
+		Load: h.load[s.Name],
+	}
+	index := map[string]int{"": Unowned}
+	for _, name := range h.ledger.table.serverNames() {
+		e := h.ledger.table.servers[name]
+		if e.service != s.Name {
+			continue
+		}
+		server := AssignServer{Name: name, State: e.state, Weight: 1, Load: h.serverLoad[name]}
+		if _, c, ok := n.configuredServer(name); ok {
+			server.Weight = c.EffectiveWeight()
+		} else {
+			server.State = ServerDraining
+		}
+		index[name] = len(r.Servers)
+		r.Servers = append(r.Servers, server)
+	}
+	for p, owner := range t.owners {
+		i, ok := index[owner.Server]
+		if !ok {
+			i = Unowned
+		}
+		r.Previous[p] = i
+		r.Placed[p] = placement.Cell(keyspace.Partition(p)) == n.cell && n.mayOwn(s.Name, keyspace.Partition(p), owner)
+	}
+	maps.DeleteFunc(h.keyLoad, func(_ unit, row keyLoadRow) bool { return now-row.at > keyLoadFresh })
+	r.Keys = n.assignKeys(s.Name, t, index, placement)
+	return r
+}
+
+// mayOwn reports whether the cell may own a placed partition.
+func (n *Node) mayOwn(string, keyspace.Partition, Owner) bool { return true }
+
+func (n *Node) assignKeys(service string, t *serviceTable, index map[string]int, placement *config.Placement) []AssignKey {
+	keys := make(map[string]AssignKey)
+	for key, owner := range t.hot {
+		previous, ok := index[owner.Server]
+		if !ok {
+			previous = Unowned
+		}
+		keys[key] = AssignKey{Key: key, Previous: previous, Load: n.holder.keyLoad[unit{service: service, key: key}].load}
+	}
+	for u, row := range n.holder.keyLoad {
+		if u.service != service {
+			continue
+		}
+		if _, ok := keys[u.key]; !ok {
+			keys[u.key] = AssignKey{Key: u.key, Previous: Unowned, Load: row.load}
+		}
+	}
+	maps.DeleteFunc(keys, func(key string, _ AssignKey) bool {
+		return placement.Cell(keyspace.Of(key, len(t.owners))) != n.cell
+	})
+	list := make([]AssignKey, 0, len(keys))
+	for _, key := range slices.Sorted(maps.Keys(keys)) {
+		list = append(list, keys[key])
+	}
+	return list
+}
+
+// movePartitions starts the moves of partitions. Moves for balance are bounded; moves off a server that leaves or is
+// down are not.
+func (n *Node) movePartitions(service string, d *desiredOwners) {
+	h := n.holder
+	t := h.ledger.table.services[service]
+	moving := 0
+	for p := range t.owners {
+		if t.owners[p].Releasing {
+			moving++
+		}
+	}
+	for p := range t.owners {
+		u := unit{service: service, partition: keyspace.Partition(p)}
+		owner := t.owners[p]
+		want, _ := d.server(u)
+		if owner.Server == want {
+			continue
+		}
+		if owner.Server == "" {
+			if e, ok := h.ledger.table.servers[want]; ok && e.state == ServerUp {
+				n.grantUnit(u, want)
+			}
+			continue
+		}
+		if e, ok := h.ledger.table.servers[owner.Server]; ok && e.state == ServerUp && want != "" {
+			if moving >= maxReleasing && !owner.Releasing {
+				h.replanAt = h.plannedAt + syncInterval
+				continue
+			}
+			moving++
+		}
+		n.vacate(u)
+	}
+}
+
+// moveKeys starts the moves of overrides. A new override begins as a release of the key by the owner of its
+// partition.
+func (n *Node) moveKeys(service string, t *serviceTable, d *desiredOwners) {
+	h := n.holder
+	for _, key := range slices.Sorted(maps.Keys(t.hot)) {
+		u := unit{service: service, key: key}
+		if owner, _ := h.ledger.table.owner(u); owner.Server != d.keys[key] {
+			n.vacate(u)
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(d.keys)) {
+		u := unit{service: service, key: key}
+		if _, ok := h.ledger.table.owner(u); ok {
+			continue
+		}
+		owner, ok := h.ledger.table.owner(n.partitionOf(u))
+		if !ok || n.stateOf(n.partitionOf(u), owner) == releasing {
+			continue
+		}
+		owner.Releasing = owner.Server != ""
+		h.ledger.putOwner(u, owner)
+		n.vacate(u)
+	}
+}
--- /dev/null
+++ b/internal/cell/world_test.go
@@ -0,0 +1,275 @@
+package cell
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sapphireplank/sapphireplank/internal/config"
+	"github.com/sapphireplank/sapphireplank/internal/fence"
+	"github.com/sapphireplank/sapphireplank/internal/keyspace"
+	"github.com/sapphireplank/sapphireplank/internal/wire"
+)
+
+const ms = time.Millisecond
+
+// world is a fake network of gateways, backend servers and a store in fake time. It checks the invariants at each
+// event and collects violations.
+type world struct {
+	rng      *rand.Rand
+	now      time.Duration
+	events   eventQueue
+	seq      uint64
+	config   *config.Config
+	gateways map[string]*gateway
+	hosts    []string
+	servers  map[string]*fakeServer
+	store    *fakeStore
+	faults   faults
+	blocked  map[[2]string]bool
+	// Probabilities of the network, per message.
+	loss, duplicate, slow float64
+
+	maxToken   map[unit]fence.Token
+	lineage    map[[2]uint64]uint64
+	acked      map[uint64]uint64
+	dispatched map[unit]time.Duration
+	violations []string
+	trace      []string
+	traced     bool
+}
+
+type event struct {
+	at  time.Duration
+	seq uint64
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// testConfig has a cell c1 with the given number of hosts and, if foreign is set, a cell c2 with one host.
+func testConfig(hosts int, foreign bool) *config.Config {
+	c := &config.Config{Revision: 1, Zones: []config.Zone{{Name: "z1"}, {Name: "z2"}}}
+	for i := range hosts {
+		c.Hosts = append(c.Hosts, config.Host{Name: fmt.Sprintf("h%d", i+1), Zone: "z1", Cell: "c1"})
+	}
+	if foreign {
+		c.Hosts = append(c.Hosts, config.Host{Name: "f1", Zone: "z2", Cell: "c2"})
+	}
+	add := func(s config.Service, servers int) {
+		for i := range servers {
+			s.Servers = append(s.Servers, config.Server{Name: fmt.Sprintf("%s%d", s.Name, i+1), Zone: "z1", Cell: "c1"})
+		}
+		c.Services = append(c.Services, s)
+	}
+	add(config.Service{Name: "keyed", Keyed: true, Partitions: 8, Fenced: true, MaxRequestMillis: 400}, 3)
+	add(config.Service{Name: "plain", Keyed: true, Partitions: 4, MaxRequestMillis: 700}, 2)
+	add(config.Service{Name: "pool", MaxRequestMillis: 400}, 2)
+	return c
+}
+
+func newWorld(seed uint64, c *config.Config, f faults) *world {
+	w := &world{
+		rng: rand.New(rand.NewPCG(seed, 0x5a)), config: c, faults: f,
+		gateways: make(map[string]*gateway), servers: make(map[string]*fakeServer), blocked: make(map[[2]string]bool),
+		maxToken: make(map[unit]fence.Token), lineage: make(map[[2]uint64]uint64), acked: make(map[uint64]uint64),
+		dispatched: make(map[unit]time.Duration),
+	}
+	w.store = &fakeStore{world: w, values: make(map[string]fakeEntry), up: true}
+	for i := range c.Services {
+		s := &c.Services[i]
+		for _, server := range s.Servers {
+			w.servers[server.Name] = &fakeServer{
+				name: server.Name, service: s, skew: w.skew(), running: make(map[unit]execution), seen: make(map[unit]fence.Token),
+			}
+		}
+	}
+	for _, host := range c.Hosts {
+		w.hosts = append(w.hosts, host.Name)
+		w.start(host.Name)
+	}
+	return w
+}
+
+// skew returns a wall clock error; any two differ by at most MaxClockSkew.
+func (w *world) skew() time.Duration {
+	return time.Duration(w.rng.Int64N(int64(MaxClockSkew))) - MaxClockSkew/2
+}
+
+func (w *world) logf(format string, args ...any) {
+	if w.traced {
+		w.trace = append(w.trace, fmt.Sprintf("%9.1fms ", float64(w.now)/float64(ms))+fmt.Sprintf(format, args...))
+	}
+}
+
+func (w *world) violate(format string, args ...any) {
+	text := fmt.Sprintf("%.1fms: ", float64(w.now)/float64(ms)) + fmt.Sprintf(format, args...)
+	w.logf("VIOLATION %s", text)
+	if len(w.violations) < 5 {
+		w.violations = append(w.violations, text)
+	}
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	w.seq++
+	heap.Push(&w.events, event{at: w.now + d, seq: w.seq, run: run})
+}
+
+// run advances the world by d.
+func (w *world) run(d time.Duration) {
+	end := w.now + d
+	for len(w.events) > 0 && w.events[0].at <= end {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.run()
+		w.checkAuthority()
+	}
+	w.now = end
+}
+
+// checkAuthority guards against two holders at the same moment. A paused process counts by its own clock.
+func (w *world) checkAuthority() {
+	acting := make(map[string]string, 2)
+	for _, host := range w.hosts {
+		g := w.gateways[host]
+		if g.down || !g.node.Acting(g.local()) {
+			continue
+		}
+		if other, ok := acting[g.node.cell]; ok {
+			w.violate("%s and %s both act as holder", other, host)
+		}
+		acting[g.node.cell] = host
+	}
+}
+
+// checkToken guards against fencing tokens that go back.
+func (w *world) checkToken(u unit, token fence.Token, server string) {
+	if token.Less(w.maxToken[u]) {
+		w.violate("%v runs on %s under token %s after %s", u, server, token, w.maxToken[u])
+	}
+	w.maxToken[u] = token
+}
+
+// checkTable guards against two histories of the table in one generation, and against the loss of an acknowledged
+// assignment when a successor takes over.
+func (w *world) checkTable(g *gateway) {
+	t := g.node.table
+	if t.generation == 0 || g.node.cell != "c1" {
+		return
+	}
+	id := [2]uint64{t.generation, t.version}
+	if id != g.checked {
+		g.checked = id
+		hash := tableHash(t)
+		if known, ok := w.lineage[id]; ok && known != hash {
+			w.violate("%s has another table at version %d.%d", g.host, t.generation, t.version)
+		}
+		w.lineage[id] = hash
+	}
+	if g.node.acknowledged > t.version {
+		w.violate("%s has acknowledged version %d beyond its table %d", g.host, g.node.acknowledged, t.version)
+	}
+	w.acked[t.generation] = max(w.acked[t.generation], g.node.acknowledged)
+	if g.node.holder != nil && g.node.Acting(g.local()) && t.version < w.acked[t.generation] {
+		w.violate("holder %s lost acknowledged version %d, it has %d", g.host, w.acked[t.generation], t.version)
+	}
+}
+
+func tableHash(t *table) uint64 {
+	data, _ := proto.MarshalOptions{Deterministic: true}.Marshal(t.whole())
+	hash := uint64(14695981039346656037)
+	for _, b := range data {
+		hash = (hash ^ uint64(b)) * 1099511628211
+	}
+	return hash
+}
+
+// deliver carries one message with loss, delay, duplication and reordering.
+func (w *world) deliver(from, to string, m *wire.Control) {
+	if w.blocked[[2]string{from, to}] || w.rng.Float64() < w.loss {
+		return
+	}
+	copies := 1
+	if w.rng.Float64() < w.duplicate {
+		copies = 2
+	}
+	for range copies {
+		delay := time.Duration(w.rng.Int64N(int64(3 * ms)))
+		if w.rng.Float64() < w.slow {
+			delay = time.Duration(w.rng.Int64N(int64(1500 * ms)))
+		}
+		w.after(delay, func() {
+			g, ok := w.gateways[to]
+			if !ok || w.blocked[[2]string{from, to}] {
+				return
+			}
+			g.do(func() Output { return g.node.Receive(g.local(), from, m) })
+		})
+	}
+}
+
+// trackedKeys are the keys that may become hot.
+var trackedKeys = []string{"alpha", "beta"}
+
+// keyPartition returns the partition of a key of service keyed.
+func keyPartition(key string) keyspace.Partition { return keyspace.Of(key, 8) }
+
+// units returns everything whose execution is checked.
+func (w *world) units() []unit {
+	var list []unit
+	for i := range w.config.Services {
+		s := &w.config.Services[i]
+		for p := range s.Partitions {
+			list = append(list, unit{service: s.Name, partition: keyspace.Partition(p)})
+		}
+	}
+	for _, key := range trackedKeys {
+		list = append(list, unit{service: "keyed", key: key})
+	}
+	return list
+}
+
+// idle returns the units that no server was dispatched for within d.
+func (w *world) idle(d time.Duration) []unit {
+	return slices.DeleteFunc(w.units(), func(u unit) bool {
+		at, ok := w.dispatched[u]
+		return ok && w.now-at <= d
+	})
+}
+
+// waitServed runs until every unit is dispatched, at most for limit, and returns the time it took.
+func (w *world) waitServed(limit time.Duration) (time.Duration, bool) {
+	start := w.now
+	for w.now-start < limit {
+		w.run(10 * ms)
+		if len(w.idle(40*ms)) == 0 {
+			return w.now - start, true
+		}
+	}
+	return w.now - start, false
+}
+
+func (w *world) holder() *gateway {
+	for _, host := range w.hosts {
+		if g := w.gateways[host]; !g.down && g.node.cell == "c1" && g.node.Acting(g.local()) {
+			return g
+		}
+	}
+	return nil
+}
