config: add diff, safety check, stored form and exact placement

Place filled cells in partition order, so the last cells could miss their share by as many partitions as there are cells.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,6 +18,8 @@
 	Services   []Service  `json:"services"`
 	// Stops are the announced planned stops of hosts and backend servers.
 	Stops []Stop `json:"stops,omitempty"`
+	// History holds the latest accepts, oldest first.
+	History []Accepted `json:"history,omitempty"`
 }
 
 // Preference says which measure the assignment of keys favours.
@@ -149,3 +151,21 @@
 	}
 	return cells
 }
+
+// HasTarget reports whether name is a host or a backend server, either of which can have a planned stop.
+func (c *Config) HasTarget(name string) bool {
+	if _, ok := c.Host(name); ok {
+		return true
+	}
+	for _, service := range c.Services {
+		for _, server := range service.Servers {
+			if server.Name == name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// End returns the time at which the announced stop is over.
+func (s Stop) End() time.Time { return s.At.Add(time.Duration(s.ForSeconds) * time.Second) }
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,216 @@
+package config
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204") // the verdict must not depend on the run
+	}
+	os.Exit(m.Run())
+}
+
+// small returns a configuration of two zones with one host and one backend server each.
+func small() *Config {
+	c := &Config{Team: "team", Preference: PreferBalance}
+	s := Service{Name: "tracker", Keyed: true, Partitions: 16, Fenced: true, Slots: 3, MaxConnections: 120, MaxRequestMillis: 400,
+		Idempotent: []Rule{{"GET", "/status/**"}}}
+	for i, zone := range []string{"a", "b"} {
+		c.Zones = append(c.Zones, Zone{Name: zone, Region: "r"})
+		c.Hosts = append(c.Hosts, Host{Name: "h-" + zone, Zone: zone, Cell: zone + "-c01",
+			PeerAddress: fmt.Sprintf("10.0.0.%d:1", i+1), CallerAddress: fmt.Sprintf("10.0.0.%d:2", i+1), AdminAddress: fmt.Sprintf("10.0.0.%d:3", i+1)})
+		s.Servers = append(s.Servers, Server{Name: "s-" + zone, Zone: zone, Cell: zone + "-c01", Address: fmt.Sprintf("10.0.1.%d:1", i+1)})
+	}
+	c.Services = []Service{s}
+	return c
+}
+
+// Guards against documents, written by hand or by another version, that would stop a gateway.
+func TestValidateNamesEachFault(t *testing.T) {
+	cases := []struct {
+		change func(c *Config)
+		want   string
+	}{
+		{func(c *Config) { c.Team = "Team" }, `[team] name = "Team": is not a name`},
+		{func(c *Config) { c.Preference = "" }, `[preference] favour: is not a preference`},
+		{func(c *Config) { c.Zones[0].Region = "" }, `[zone a] region: is not a name`},
+		{func(c *Config) {
+			c.Zones[1] = c.Zones[0]
+			c.Hosts, c.Services[0].Servers = c.Hosts[:1], c.Services[0].Servers[:1]
+		}, `[zone a] name = "a": appears twice`},
+		{func(c *Config) { c.Zones[0].Lost, c.Zones[1].Lost = true, true }, `[zones] lost: every availability zone`},
+		{func(c *Config) { c.Hosts[0].Rack = "R 1" }, `[host h-a] rack = "R 1": is not a name`},
+		{func(c *Config) { c.Hosts[0].Zone = "x" }, `[host h-a] zone = "x": is not an availability zone`},
+		{func(c *Config) { c.Hosts[1].Cell = "a-c01" }, `[host h-b] cell = "a-c01": lies in the zones a and b`},
+		{func(c *Config) { c.Hosts[1].PeerAddress = "b:1" }, `[host h-b] peer_address = "b:1": is not an IP address`},
+		{func(c *Config) { c.Hosts[1].PeerAddress = "[::]:1" }, `[host h-b] peer_address = "[::]:1": does not name one host`},
+		{func(c *Config) { c.Hosts[1].AdminAddress = c.Hosts[0].CallerAddress }, `is also used by [host h-a] caller_address`},
+		{func(c *Config) { c.Services[0].Servers[1].Address = c.Services[0].Servers[0].Address }, `is also used by [server s-a] address`},
+		{func(c *Config) { c.Services[0].Servers[1].Name = "h-a" }, `is also the name in [host h-a]`},
+		{func(c *Config) { c.Services[0].Servers[1].Cell = "x" }, `[server s-b] cell = "x": has no entry host`},
+		{func(c *Config) { c.Services[0].Servers[1].Cell = "a-c01" }, `lies in zone a, not in b`},
+		{func(c *Config) { c.Services[0].Servers[1].Weight = -1 }, `[server s-b] weight = "-1": is out of range`},
+		{func(c *Config) { c.Services[0].Servers = nil }, `the service has no backend server`},
+		{func(c *Config) { c.Zones[0].Lost, c.Services[0].Servers = true, c.Services[0].Servers[:1] }, `every backend server lies in a zone that is declared lost`},
+		{func(c *Config) { c.Services[0].Partitions = 1000 }, `partitions = "1000": is not a power of two`},
+		{func(c *Config) { c.Services[0].Keyed = false }, `partitions = "16": is set for a service that is not divided`},
+		{func(c *Config) { c.Services[0].Slots = 0 }, `slots = "0": is out of range`},
+		{func(c *Config) { c.Services[0].MaxConnections = 4 }, `is less than the 3 slots and 2 spare connections`},
+		{func(c *Config) { c.Services[0].MaxRequestMillis = 30001 }, `max_request_millis = "30001": is out of range`},
+		{func(c *Config) { c.Services[0].Idempotent[0].Path = "/[" }, `idempotent = "GET /[": has a pattern that cannot be read`},
+		{func(c *Config) { c.Services = append(c.Services, Service{Name: "tracker"}) }, `[service tracker] name = "tracker": appears twice`},
+		{func(c *Config) { c.Stops = []Stop{{Target: "x", At: time.Unix(1, 0), ForSeconds: 1}} }, `[stop x] target = "x": is neither a host nor`},
+		{func(c *Config) { c.Stops = []Stop{{Target: "h-a", ForSeconds: 1}} }, `[stop h-a] at: has no time`},
+		{func(c *Config) { c.Stops = []Stop{{Target: "h-a", At: time.Unix(1, 0)}} }, `[stop h-a] for_seconds = "0": is out of range`},
+		{func(c *Config) {
+			for i := range MaxCellHosts {
+				c.Hosts = append(c.Hosts, Host{Name: fmt.Sprintf("n%d", i), Zone: "a", Cell: "a-c01", PeerAddress: fmt.Sprintf("10.1.0.%d:1", i),
+					CallerAddress: fmt.Sprintf("10.1.0.%d:2", i), AdminAddress: fmt.Sprintf("10.1.0.%d:3", i)})
+			}
+		}, `[cell a-c01] hosts = "13": too many hosts; keep at most 12`},
+	}
+	if err := small().Validate(); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		changed := small()
+		c.change(changed)
+		err := changed.Validate()
+		if !errors.Is(err, ErrInvalid) || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("want %s\ngot  %v", c.want, err)
+		}
+	}
+}
+
+// Guards against unsafe revisions that pass, and safe ones that are refused.
+func TestUnsafeRevisions(t *testing.T) {
+	cases := []struct {
+		change func(c *Config)
+		want   HazardKind
+		refuse bool
+	}{
+		{func(c *Config) { c.Team = "rival" }, HazardTeam, true},
+		{func(c *Config) { c.Services[0].Partitions = 32 }, HazardPartitions, true},
+		{func(c *Config) { c.Services[0].Keyed, c.Services[0].Partitions = false, 0 }, HazardKeyed, true},
+		{func(c *Config) { c.Services[0].Fenced = false }, HazardFencing, false},
+		{func(c *Config) { c.Services[0].MaxRequestMillis = 399 }, HazardShorterRequests, false},
+		{func(c *Config) { c.Services[0].Idempotent[0].Method = "*" }, HazardIdempotent, false},
+		{func(c *Config) { c.Services[0].Idempotent[0].Path = "/**" }, HazardIdempotent, false},
+		{func(c *Config) { c.Services[0].Idempotent[0].Path = "/statu?/x" }, HazardIdempotent, false},
+		{func(c *Config) { c.Zones[0].Lost = true }, HazardLostZone, false},
+		{func(c *Config) { c.Hosts = c.Hosts[1:] }, HazardHostRemoved, false},
+		{func(c *Config) { c.Hosts[0].Cell = "a-c02" }, HazardHostMoved, false},
+		{func(c *Config) { c.Services[0].Servers[0].Address = "10.0.1.9:1" }, HazardServerMoved, false},
+		{func(c *Config) { c.Services[0].Servers[0].Name = "renamed" }, HazardServerMoved, false},
+		{func(c *Config) { c.Services[0].Servers[0].Cell = "a-c02" }, HazardServerMoved, false},
+		{func(c *Config) { c.Services[0].Idempotent[0] = Rule{"GET", "/status/*"} }, "", false},
+		{func(c *Config) { c.Services[0].Idempotent = nil }, "", false},
+		{func(c *Config) { c.Services[0].Servers = c.Services[0].Servers[:1] }, "", false},
+		{func(c *Config) { c.Services[0].MaxRequestMillis = 401 }, "", false},
+	}
+	answers := func(Host) bool { return true }
+	for i, c := range cases {
+		next := small()
+		c.change(next)
+		hazards := small().Unsafe(next, answers)
+		if c.want == "" {
+			if len(hazards) > 0 {
+				t.Errorf("case %d: %v", i, hazards)
+			}
+			continue
+		}
+		if len(hazards) != 1 || hazards[0].Kind != c.want || !errors.Is(hazards.Unacknowledged(nil), ErrUnsafe) {
+			t.Errorf("case %d: want %s, got %v", i, c.want, hazards)
+		}
+		if err := hazards.Unacknowledged([]HazardKind{c.want}); (err != nil) != c.refuse {
+			t.Errorf("case %d: acknowledged %s: %v", i, c.want, err)
+		}
+	}
+	lost, silent := small(), func(Host) bool { return false }
+	lost.Zones[0].Lost, lost.Hosts = true, lost.Hosts[1:]
+	if hazards := small().Unsafe(lost, silent); len(hazards) > 0 {
+		t.Errorf("zone without a host that answers: %v", hazards)
+	}
+	if hazards := lost.Unsafe(small(), silent); len(hazards) != 1 || hazards[0].Kind != HazardZoneReturns {
+		t.Errorf("zone returns: %v", hazards)
+	}
+}
+
+// Guards against differences that operators are not shown, or that do not exist.
+func TestDiffNamesEachChange(t *testing.T) {
+	next := small()
+	next.Preference, next.Hosts[0].Rack, next.Services[0].Slots, next.Revision, next.ID = PreferAvailability, "r1", 4, 9, "x"
+	next.Services[0].Servers = append(next.Services[0].Servers[:1], Server{Name: "new", Zone: "a", Cell: "a-c01", Address: "10.0.1.9:1"})
+	d := small().Diff(next)
+	const want = "preference favour: imbalance -> unavailable-time; host h-a rack: none -> r1; service tracker slots: 3 -> 4; " +
+		"server new added; server s-b removed"
+	if d.Summary() != want {
+		t.Errorf("got  %s\nwant %s", d.Summary(), want)
+	}
+	if len(d.Moves) != 1 || d.Moves[0] != (Moves{"tracker", 16, 8, 8}) {
+		t.Errorf("moves %v", d.Moves)
+	}
+	if same := small().Diff(small()); !same.IsEmpty() || len(same.Moves) > 0 {
+		t.Errorf("equal configurations differ: %v", same)
+	}
+}
+
+// Guards against documents that the store refuses, and against documents that exhaust memory or lose members.
+func TestEncodeBoundsTheDocument(t *testing.T) {
+	large := small()
+	for i := range 11000 {
+		large.Hosts = append(large.Hosts, Host{Name: fmt.Sprintf("kyu-fukuoka-h%05d", i), Zone: "a", Cell: fmt.Sprintf("a-c%03d", i/12),
+			PeerAddress: fmt.Sprintf("10.1.%d.%d:7000", i/250, i%250), CallerAddress: fmt.Sprintf("10.1.%d.%d:7001", i/250, i%250)})
+	}
+	for _, c := range []*Config{small(), large} {
+		document, err := c.Encode()
+		if err != nil || len(document) > MaxDocumentBytes {
+			t.Fatalf("%d hosts: %d bytes, %v", len(c.Hosts), len(document), err)
+		}
+		back, err := Decode(document)
+		if err != nil || !c.Diff(back).IsEmpty() || back.Digest() != c.Digest() {
+			t.Fatalf("%d hosts do not return: %v", len(c.Hosts), err)
+		}
+	}
+	bomb, err := compress(bytes.Repeat([]byte(" "), maxExpandedBytes+1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for document, want := range map[string]error{
+		"": ErrSyntax, "{}x": ErrSyntax, "{}{}": ErrSyntax, `{"tem":"a"}`: ErrSyntax, "\x1f\x8b": ErrSyntax,
+		string(bomb): ErrTooLarge, strings.Repeat(" ", MaxDocumentBytes+1): ErrTooLarge,
+	} {
+		if _, err := Decode([]byte(document)); !errors.Is(err, want) {
+			t.Errorf("document of %d bytes: %v", len(document), err)
+		}
+	}
+}
+
+// Guards against a gateway that returns to an older revision, or that takes one of two documents by chance.
+func TestGreatestRevisionSupersedes(t *testing.T) {
+	at := func(revision uint64, id string) *Config { return &Config{Revision: revision, ID: id} }
+	cases := []struct {
+		candidate, current *Config
+		supersedes         bool
+		err                error
+	}{
+		{at(1, "a"), nil, true, nil}, {at(2, "b"), at(1, "a"), true, nil}, {at(1, "a"), at(2, "b"), false, nil},
+		{at(1, "a"), at(1, "a"), false, nil}, {at(1, "b"), at(1, "a"), false, ErrRevisionClash},
+		{at(0, "a"), nil, false, ErrNotAccepted}, {at(1, ""), nil, false, ErrNotAccepted},
+	}
+	for _, c := range cases {
+		if got, err := Supersedes(c.candidate, c.current); got != c.supersedes || !errors.Is(err, c.err) {
+			t.Errorf("%+v over %+v: %v, %v", c.candidate, c.current, got, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/moves.go
@@ -0,0 +1,57 @@
+package config
+
+import (
+	"strconv"
+
+	"github.com/sapphireplank/sapphireplank/internal/keyspace"
+)
+
+// Moves counts the partitions of a service that a revision moves to another cell.
+type Moves struct {
+	Service    string `json:"service"`
+	Partitions int    `json:"partitions"`
+	// Moved is the number of partitions that change their cell.
+	Moved int `json:"moved"`
+	// Least is the smallest number of moves that gives each cell its new share.
+	Least int `json:"least"`
+}
+
+// String returns the counts as a few words.
+func (m Moves) String() string {
+	return "service " + m.Service + ": " + strconv.Itoa(m.Moved) + " of " + strconv.Itoa(m.Partitions) +
+		" partitions move to another cell (least possible: " + strconv.Itoa(m.Least) + ")"
+}
+
+// moves compares the placement of the keyed services that both configurations have with the same number of
+// partitions.
+func (c *Config) moves(next *Config) []Moves {
+	var all []Moves
+	for i := range next.Services {
+		after := &next.Services[i]
+		before, ok := c.Service(after.Name)
+		if !ok || !before.Keyed || !after.Keyed || before.Partitions != after.Partitions {
+			continue
+		}
+		if moves := comparePlacements(after.Name, c.Place(before), next.Place(after)); moves.Moved > 0 {
+			all = append(all, moves)
+		}
+	}
+	return all
+}
+
+func comparePlacements(service string, before, after *Placement) Moves {
+	moves := Moves{Service: service, Partitions: len(after.ByPartition)}
+	gained := make(map[string]int)
+	for p := range after.ByPartition {
+		from, to := before.Cell(keyspace.Partition(p)), after.Cell(keyspace.Partition(p))
+		if from != to {
+			moves.Moved++
+		}
+		gained[to]++
+		gained[from]--
+	}
+	for _, n := range gained {
+		moves.Least += max(n, 0)
+	}
+	return moves
+}
--- a/internal/config/placement.go
+++ b/internal/config/placement.go
@@ -1,73 +1,90 @@
 package config
 
 import (
+	"cmp"
 	"math"
-	"strconv"
-
-	"github.com/cespare/xxhash/v2"
+	"slices"
 
 	"github.com/sapphireplank/sapphireplank/internal/keyspace"
 )
 
 // Placement maps each partition of a service to a cell.
 type Placement struct {
-	// Cells are the cells with servers of the service.
+	// Cells are the cells with servers of the service outside lost zones, by name.
 	Cells []string
-	// ByPartition holds an index into Cells for each partition.
+	// ByPartition holds an index into Cells for each partition. It is empty if there is no cell.
 	ByPartition []uint16
 }
 
-// Cell returns the cell of partition p.
+// Cell returns the cell of a partition, or "" if no cell has a server of the service.
 func (p *Placement) Cell(partition keyspace.Partition) string {
+	if len(p.Cells) == 0 {
+		return ""
+	}
 	return p.Cells[p.ByPartition[partition]]
 }
 
-// Place computes the placement of a keyed service. Each partition goes to the cell with the greatest
-// weighted rendezvous score among the cells that have room left for their share, so that a change of weight
-// moves little and the shares stay exact within one partition.
+// Place computes the placement of a keyed service. The share of each cell is exact within one partition of the
+// weight of its servers. The placement depends on the configuration alone, yet a change of weights moves little
+// more than the least possible: each partition goes to the cell with the smallest score, as in weighted
+// rendezvous hashing, and the weights are corrected until the shares are exact.
+//
+// The cost is that of one hash for each pair of partition and cell, so callers keep the result while cells and
+// weights stay the same.
 func (c *Config) Place(s *Service) *Placement {
-	weights := make(map[string]float64)
-	placement := &Placement{ByPartition: make([]uint16, s.Partitions)}
-	total := 0.0
+	cells, weights := c.cellWeights(s)
+	if len(cells) == 0 || s.Partitions == 0 {
+		return &Placement{}
+	}
+	placer := newPlacer(s, cells, weights)
+	placer.settle()
+	placer.repair()
+	return &Placement{Cells: cells, ByPartition: placer.chosen}
+}
+
+// cellWeights returns the cells of the service that are not lost, by name, and the sum of the weights of the
+// servers of each.
+func (c *Config) cellWeights(s *Service) ([]string, []float64) {
+	byCell := make(map[string]float64)
 	for _, server := range s.Servers {
-		if c.isLost(server.Zone) {
-			continue
+		if !c.isLost(server.Zone) {
+			byCell[server.Cell] += server.EffectiveWeight()
 		}
-		if _, ok := weights[server.Cell]; !ok {
-			placement.Cells = append(placement.Cells, server.Cell)
-		}
-		weights[server.Cell] += server.EffectiveWeight()
-		total += server.EffectiveWeight()
-	}
-	room := make([]int, len(placement.Cells))
-	for i, cell := range placement.Cells {
-		room[i] = int(math.Ceil(float64(s.Partitions) * weights[cell] / total))
 	}
-	for p := range placement.ByPartition {
-		best := bestCell(s.Name, p, placement.Cells, weights, room)
-		room[best]--
-		placement.ByPartition[p] = uint16(best)
+	cells := make([]string, 0, len(byCell))
+	for cell := range byCell {
+		cells = append(cells, cell)
 	}
-	return placement
-}
-
-func bestCell(service string, partition int, cells []string, weights map[string]float64, room []int) int {
-	best, bestScore := 0, math.Inf(-1)
+	slices.Sort(cells)
+	weights := make([]float64, len(cells))
 	for i, cell := range cells {
-		if room[i] <= 0 {
-			continue
-		}
-		if score := rendezvousScore(service, partition, cell, weights[cell]); score > bestScore {
-			best, bestScore = i, score
-		}
+		weights[i] = byCell[cell]
 	}
-	return best
+	return cells, weights
 }
 
-func rendezvousScore(service string, partition int, cell string, weight float64) float64 {
-	hash := xxhash.Sum64String(service + "/" + strconv.Itoa(partition) + "/" + cell)
-	uniform := (float64(hash>>11) + 0.5) / (1 << 53)
-	return -weight / math.Log(uniform)
+// quotas divides the partitions by weight with the method of largest remainders.
+func quotas(partitions int, weights []float64) []int {
+	total := 0.0
+	for _, weight := range weights {
+		total += weight
+	}
+	shares := make([]int, len(weights))
+	remainders := make([]float64, len(weights))
+	order := make([]int, len(weights))
+	left := partitions
+	for i, weight := range weights {
+		exact := float64(partitions) * (weight / total)
+		shares[i] = int(math.Floor(exact))
+		remainders[i] = exact - math.Floor(exact)
+		order[i] = i
+		left -= shares[i]
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(remainders[b], remainders[a]) })
+	for i := range left {
+		shares[order[i]]++
+	}
+	return shares
 }
 
 // EffectiveWeight returns the weight of the server, or 1 if none is set.
