accept: accept configurations by compare-and-swap

A lost answer is resolved by reading back the id, which the configuration keeps in its history; a conflict names both changes. Planned stops go the same way and survive an accept of regenerated answers.

--- /dev/null
+++ b/internal/accept/accept_test.go
@@ -0,0 +1,300 @@
+package accept
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+
+	"github.com/sapphireplank/sapphireplank/internal/config"
+	"github.com/sapphireplank/sapphireplank/internal/store"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204") // the verdict must not depend on the run
+	}
+	os.Exit(m.Run())
+}
+
+// fakeStore is a store with one key and injected faults. fault is asked once for each call.
+type fakeStore struct {
+	store.Store
+	entries []store.Entry // all versions, the first one empty
+	late    []store.Entry // writes that were answered with ErrUnavailable and may still take effect
+	fault   func(call string) string
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{entries: []store.Entry{{}}, fault: func(string) string { return "" }}
+}
+
+func (f *fakeStore) latest() store.Entry { return f.entries[len(f.entries)-1] }
+
+func (f *fakeStore) Get(context.Context, string) (store.Entry, error) {
+	entry := f.latest()
+	switch f.fault("get") {
+	case "down":
+		return store.Entry{}, store.ErrUnavailable
+	case "stale":
+		entry = f.entries[max(0, len(f.entries)-2)]
+	}
+	if entry.Version == 0 {
+		return entry, store.ErrNotFound
+	}
+	return entry, nil
+}
+
+func (f *fakeStore) CompareAndSwap(_ context.Context, key string, version uint64, value []byte) (store.Entry, error) {
+	write := store.Entry{Key: key, Value: value, Version: version + 1}
+	switch f.fault("cas") {
+	case "down":
+		return store.Entry{}, store.ErrUnavailable
+	case "lost":
+		_ = f.apply(write)
+		return store.Entry{}, store.ErrUnavailable
+	case "late":
+		f.late = append(f.late, write)
+		return store.Entry{}, store.ErrUnavailable
+	}
+	return write, f.apply(write)
+}
+
+func (f *fakeStore) apply(write store.Entry) error {
+	if f.latest().Version+1 != write.Version {
+		return store.ErrConflict
+	}
+	f.entries = append(f.entries, write)
+	return nil
+}
+
+func (f *fakeStore) deliverLate() {
+	for _, write := range f.late {
+		_ = f.apply(write)
+	}
+	f.late = nil
+}
+
+// revisions decodes everything that ever was in the store.
+func (f *fakeStore) revisions(t *rapid.T) []*config.Config {
+	var all []*config.Config
+	for _, entry := range f.entries[1:] {
+		c, err := config.Decode(entry.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, c)
+	}
+	return all
+}
+
+// answers returns a small configuration; n distinguishes contents.
+func answers(n int) *config.Config {
+	return &config.Config{
+		Team: "team", Preference: config.PreferBalance,
+		Zones: []config.Zone{{Name: "a", Region: "r"}},
+		Hosts: []config.Host{{Name: "h1", Zone: "a", Cell: "a-c01", PeerAddress: "127.0.0.1:1", CallerAddress: "127.0.0.1:2", AdminAddress: "127.0.0.1:3"}},
+		Services: []config.Service{{Name: "s", Slots: 1 + n, MaxConnections: 100, MaxRequestMillis: 400,
+			Servers: []config.Server{{Name: "s1", Zone: "a", Cell: "a-c01", Address: "127.0.0.1:4"}}}},
+	}
+}
+
+func newAccepter(s store.Store) *Accepter {
+	return &Accepter{Store: s, Now: func() time.Time { return time.Unix(1e9, 0) }}
+}
+
+// call is an accept that an operator may repeat, with all answers that it got.
+type call struct {
+	request  Request
+	accepted bool
+	open     bool // an answer left it undecided
+}
+
+// Guards against revisions that go back, accepts that are lost or applied twice, and refusals of accepts that took
+// effect, under lost answers, late writes, stale reads, outages, rivals in the middle of an accept, and repeats.
+func TestAcceptsAreNeverLostOrAppliedTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx, fake := context.Background(), newFakeStore()
+		accepter := newAccepter(fake)
+		var calls []*call
+		depth := 0
+		var run func(c *call)
+		fake.fault = func(name string) string {
+			faults := map[string][]string{"get": {"", "", "", "down", "stale"}, "cas": {"", "", "down", "lost", "late", "rival", "deliver"}}
+			fault := rapid.SampledFrom(faults[name]).Draw(t, name)
+			if fault == "deliver" {
+				fake.deliverLate()
+			}
+			if fault == "rival" && depth < 2 {
+				run(draw(t, fake, &calls))
+			}
+			return fault
+		}
+		run = func(c *call) {
+			depth++
+			defer func() { depth-- }()
+			_, err := accepter.Accept(ctx, "team", c.request)
+			switch {
+			case err == nil:
+				c.accepted = true
+			case errors.Is(err, ErrUndecided):
+				c.open = true
+			case errors.Is(err, ErrConflict), errors.Is(err, ErrStoreDown):
+			default:
+				t.Fatalf("accept %s: %v", c.request.ID, err)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"accept": func(t *rapid.T) { run(draw(t, fake, &calls)) },
+			"repeat": func(t *rapid.T) {
+				if len(calls) > 0 {
+					run(rapid.SampledFrom(calls).Draw(t, "call"))
+				}
+			},
+			"deliver": func(*rapid.T) { fake.deliverLate() },
+			"": func(t *rapid.T) {
+				revisions, written := fake.revisions(t), make(map[string]int)
+				for i, c := range revisions {
+					if c.Revision != uint64(i+1) {
+						t.Fatalf("write %d has revision %d", i+1, c.Revision)
+					}
+					written[c.ID]++
+				}
+				for _, c := range calls {
+					if n := written[c.request.ID]; n > 1 || c.accepted && n != 1 || !c.accepted && !c.open && n != 0 {
+						t.Fatalf("accept %s was written %d times (accepted: %v, undecided: %v)", c.request.ID, n, c.accepted, c.open)
+					}
+				}
+			},
+		})
+	})
+}
+
+func draw(t *rapid.T, fake *fakeStore, calls *[]*call) *call {
+	seen := fake.latest().Version
+	if seen > 0 && rapid.IntRange(0, 3).Draw(t, "outdated") == 0 {
+		seen--
+	}
+	n := len(*calls)
+	c := &call{request: Request{ID: fmt.Sprint("id-", n), Seen: seen, Config: answers(n % 90), Change: fmt.Sprint("change ", n)}}
+	*calls = append(*calls, c)
+	return c
+}
+
+// Guards against two winners or none, and against a conflict that leaves one of the changes unnamed.
+func TestExactlyOneOfTwoRacingOperatorsWins(t *testing.T) {
+	ctx, fake := context.Background(), newFakeStore()
+	accepter := newAccepter(fake)
+	var rivalErr error
+	raced := false
+	fake.fault = func(name string) string {
+		if name == "cas" && !raced {
+			raced = true
+			_, rivalErr = accepter.Accept(ctx, "team", Request{ID: "b", Config: answers(2), Operator: "berta", Change: "slots 3"})
+		}
+		return ""
+	}
+	_, err := accepter.Accept(ctx, "team", Request{ID: "a", Config: answers(1), Operator: "anna", Change: "slots 2"})
+	var conflict *Conflict
+	if rivalErr != nil || !errors.As(err, &conflict) || !errors.Is(err, ErrConflict) {
+		t.Fatalf("winner: %v; loser: %v", rivalErr, err)
+	}
+	if conflict.Mine != "slots 2" || len(conflict.Theirs) != 1 || conflict.Theirs[0].Change != "slots 3" || conflict.Theirs[0].Operator != "berta" {
+		t.Errorf("conflict names %+v", conflict)
+	}
+}
+
+// Guards against each single refusal that is not raised, or raised as another error.
+func TestRefusals(t *testing.T) {
+	ctx, fake := context.Background(), newFakeStore()
+	accepter := newAccepter(fake)
+	first, err := accepter.Accept(ctx, "team", Request{ID: "1", Config: answers(1)})
+	if err != nil || first.Revision != 1 || first.ID != "1" {
+		t.Fatalf("first accept: %+v, %v", first, err)
+	}
+	idempotent := answers(1)
+	idempotent.Services[0].Idempotent = []config.Rule{{Method: "POST", Path: "/**"}}
+	invalid := answers(-1)
+	cases := []struct {
+		name    string
+		request Request
+		want    error
+	}{
+		{"no id", Request{Seen: 1, Config: answers(2)}, ErrNoID},
+		{"id reused", Request{ID: "1", Seen: 1, Config: answers(2)}, ErrIDReused},
+		{"outdated", Request{ID: "2", Seen: 0, Config: answers(2)}, ErrConflict},
+		{"from nowhere", Request{ID: "2", Seen: 9, Config: answers(2)}, ErrConflict},
+		{"invalid", Request{ID: "2", Seen: 1, Config: invalid}, config.ErrInvalid},
+		{"unsafe", Request{ID: "2", Seen: 1, Config: idempotent}, config.ErrUnsafe},
+		{"safe by notice", Request{ID: "3", Seen: 1, Config: idempotent, Acknowledged: []config.HazardKind{config.HazardIdempotent}}, nil},
+		{"repeated", Request{ID: "1", Seen: 0, Config: answers(1)}, nil},
+	}
+	for _, c := range cases {
+		if _, err := accepter.Accept(ctx, "team", c.request); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+	if _, err := accepter.Accept(ctx, "rival", Request{ID: "4", Config: answers(1)}); !errors.Is(err, config.ErrUnsafe) {
+		t.Errorf("another team's document: %v", err)
+	}
+	accepter.InForce = func(string) uint64 { return 7 }
+	if _, err := accepter.Accept(ctx, "team", Request{ID: "5", Seen: 2, Config: answers(3)}); !errors.Is(err, ErrStoreBehind) {
+		t.Errorf("store behind: %v", err)
+	}
+	fake.fault = func(string) string { return "down" }
+	if _, err := accepter.Accept(ctx, "team", Request{ID: "6", Seen: 2, Config: answers(3)}); !errors.Is(err, ErrStoreDown) || errors.Is(err, ErrUndecided) {
+		t.Errorf("store down: %v", err)
+	}
+}
+
+// Guards against stops that an accept of regenerated answers drops, and stops that outlive their target.
+func TestStopsSurviveAnAcceptOfAnswers(t *testing.T) {
+	ctx, fake := context.Background(), newFakeStore()
+	accepter := newAccepter(fake)
+	stop := config.Stop{Target: "h1", At: time.Unix(1e9+60, 0), ForSeconds: 600}
+	steps := []struct {
+		name string
+		run  func() (*config.Config, error)
+		want error
+		left int
+	}{
+		{"none yet", func() (*config.Config, error) {
+			return accepter.Announce(ctx, "team", Announcement{ID: "0", Stop: stop})
+		}, ErrNone, 0},
+		{"first", func() (*config.Config, error) {
+			return accepter.Accept(ctx, "team", Request{ID: "1", Config: answers(1)})
+		}, nil, 0},
+		{"announce", func() (*config.Config, error) {
+			return accepter.Announce(ctx, "team", Announcement{ID: "2", Stop: stop})
+		}, nil, 1},
+		{"repeat", func() (*config.Config, error) {
+			return accepter.Announce(ctx, "team", Announcement{ID: "2", Stop: stop})
+		}, nil, 1},
+		{"replace", func() (*config.Config, error) {
+			return accepter.Announce(ctx, "team", Announcement{ID: "3", Stop: stop})
+		}, nil, 1},
+		{"unknown host", func() (*config.Config, error) {
+			return accepter.Announce(ctx, "team", Announcement{ID: "4", Stop: config.Stop{Target: "h9", At: stop.At, ForSeconds: 1}})
+		}, ErrNoTarget, 0},
+		{"past", func() (*config.Config, error) {
+			return accepter.Announce(ctx, "team", Announcement{ID: "4", Stop: config.Stop{Target: "h1", At: time.Unix(1, 0), ForSeconds: 1}})
+		}, config.ErrInvalid, 0},
+		{"accept", func() (*config.Config, error) {
+			return accepter.Accept(ctx, "team", Request{ID: "5", Seen: 3, Config: answers(2)})
+		}, nil, 1},
+		{"cancel", func() (*config.Config, error) { return accepter.Cancel(ctx, "team", Announcement{ID: "6", Stop: stop}) }, nil, 0},
+		{"cancel twice", func() (*config.Config, error) { return accepter.Cancel(ctx, "team", Announcement{ID: "7", Stop: stop}) }, ErrNoStop, 0},
+	}
+	for _, step := range steps {
+		c, err := step.run()
+		if !errors.Is(err, step.want) || c != nil && len(c.Stops) != step.left {
+			t.Fatalf("%s: %+v, %v", step.name, c, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/accept/replacement.go
@@ -0,0 +1,55 @@
+package accept
+
+import (
+	"github.com/sapphireplank/sapphireplank/internal/config"
+)
+
+// replacement is the edit that puts another configuration in place of the one that the operator saw.
+type replacement struct {
+	accepter *Accepter
+	request  Request
+	digest   string
+}
+
+func (r *replacement) id() string          { return r.request.ID }
+func (r *replacement) fingerprint() string { return r.digest }
+
+func (r *replacement) apply(current *config.Config) (*config.Config, config.Accepted, error) {
+	record := config.Accepted{Operator: r.request.Operator, Change: r.request.Change}
+	next := r.request.Config.Clone()
+	next.Stops = nil
+	if current == nil {
+		if r.request.Seen != 0 {
+			return nil, record, &Conflict{Seen: r.request.Seen, Mine: r.request.Change}
+		}
+		if record.Change == "" {
+			record.Change = "first configuration"
+		}
+		return next, record, nil
+	}
+	next.Stops = remainingStops(current.Stops, next)
+	difference := current.Diff(next)
+	if record.Change == "" {
+		record.Change = difference.Summary()
+	}
+	if current.Revision != r.request.Seen {
+		return nil, record, &Conflict{
+			Seen: r.request.Seen, Current: current.Revision,
+			Mine: record.Change, Theirs: current.Since(r.request.Seen),
+		}
+	}
+	hazards := current.Unsafe(next, r.accepter.answers())
+	return next, record, hazards.Unacknowledged(r.request.Acknowledged)
+}
+
+// remainingStops keeps the planned stops whose target is still configured. Stops are no answers of the
+// questionnaire, so a regenerated configuration does not contain them.
+func remainingStops(stops []config.Stop, next *config.Config) []config.Stop {
+	var remaining []config.Stop
+	for _, stop := range stops {
+		if next.HasTarget(stop.Target) {
+			remaining = append(remaining, stop)
+		}
+	}
+	return remaining
+}
