dev: run the whole path from callers to backend servers

Cause: the thin path had not been run. Change: assignment policy behind the holder, prober for unavailable time, first-attempt header, and a fix: a refusal of a repeat no longer hides that an earlier attempt may have run (the promise check of plank-dev found 3 such requests in 924). Before: refused as not run and yet run: 3 of 924 (moravia), 2 of 337 (kyushu).

--- a/internal/backend/request.go
+++ b/internal/backend/request.go
@@ -33,6 +33,8 @@
 	// Deadline is the caller's deadline in wall clock time.
 	Deadline   time.Time
 	Idempotent bool
+	// FirstAttempt is true if the caller states that it sends the request for the first time.
+	FirstAttempt bool
 	// Identity is the request identity that the caller chose, or "".
 	Identity string
 	// Keyed is true if the service is divided by key. Only then Scope and Token apply.
--- a/internal/control/configstep.go
+++ b/internal/control/configstep.go
@@ -37,6 +37,7 @@
 		return
 	}
 	l.inForce = c
+	l.assign.Configure(c)
 	l.options.Publisher.Configured(c)
 	l.applyCell(l.cell.Configure(l.now(), c))
 	l.publish()
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -24,6 +24,7 @@
 	// The fields below belong to the goroutine of Run.
 	cell    *cell.Node
 	confs   *confsync.Node
+	assign  *Assigner
 	held    *config.Config
 	inForce *config.Config
 	cells   []confsync.Cell
@@ -43,13 +44,14 @@
 		inbox:   make(chan *wire.Envelope, inboxLength),
 		calls:   make(chan func(), inboxLength),
 		done:    make(chan struct{}),
+		assign:  NewAssigner(),
 	}
 	l.cell = cell.NewNode(cell.NodeConfig{
 		Host:        o.Host,
 		Incarnation: o.Incarnation,
 		WallStart:   o.Start.Round(0),
 		Random:      random,
-		Assign:      o.Assign,
+		Assign:      l.assign.Next,
 	})
 	l.confs = confsync.New(confsync.Options{Self: o.Host, Random: random.IntN, Rebase: rebase})
 	l.store = newStoreCaller(o.Store, l.call)
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -44,7 +44,6 @@
 	Store  store.Store
 	// Start is the beginning of monotonic time.
 	Start     time.Time
-	Assign    cell.AssignFunc
 	Clock     Clock
 	Recorder  timeline.Recorder
 	Publisher Publisher
--- a/internal/dev/caller.go
+++ b/internal/dev/caller.go
@@ -85,6 +85,7 @@
 	r.Header.Set(gateway.HeaderKey, q.key)
 	// The map key in lower case keeps the transport from taking the request as one that it may repeat.
 	r.Header["idempotency-key"] = []string{q.identity}
+	r.Header.Set(gateway.HeaderAttempt, "1")
 	r.Header.Set(gateway.HeaderTimeout, millis(q.timeout))
 	return r
 }
--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +19,9 @@
 	"github.com/sapphireplank/sapphireplank/internal/timeline"
 )
 
+// eventFileMode lets the owner write and others read.
+const eventFileMode = 0o644
+
 // firstRevision is the revision of the configuration that a deployment starts with.
 const firstRevision = 1
 
@@ -31,11 +36,13 @@
 	servers    *servers
 	nodes      map[string]*node.Node
 	logs       *logging.Logs
-	events     io.Writer
+	// eventDir is the directory for event logs, or "".
+	eventDir string
+	files    []io.Closer
 }
 
 // StartDeployment starts the store, all backend servers and all gateways of a configuration.
-func StartDeployment(name string, c *config.Config, logs *logging.Logs, events io.Writer, seed uint64) (*Deployment, error) {
+func StartDeployment(name string, c *config.Config, logs *logging.Logs, eventDir string, seed uint64) (*Deployment, error) {
 	d := &Deployment{
 		Name:       name,
 		Config:     c,
@@ -45,7 +52,7 @@
 		Balancer:   new(Balancer),
 		nodes:      make(map[string]*node.Node),
 		logs:       logs,
-		events:     events,
+		eventDir:   eventDir,
 	}
 	if err := d.accept(); err != nil {
 		return nil, err
@@ -79,6 +86,10 @@
 // StartGateway starts the gateway of a host.
 func (d *Deployment) StartGateway(name string) error {
 	host, _ := d.Config.Host(name)
+	events, err := d.openEvents(name)
+	if err != nil {
+		return err
+	}
 	started, err := node.Start(node.Options{
 		Host:          name,
 		Team:          d.Config.Team,
@@ -88,7 +99,7 @@
 		Seeds:         d.seeds(name),
 		Store:         d.Store,
 		Dial:          peer.DialTCP,
-		Events:        timeline.NewLog(timeline.LogOptions{Host: name, Output: d.events}),
+		Events:        timeline.NewLog(timeline.LogOptions{Host: name, Output: events}),
 		Logs:          d.logs,
 		Observer:      gateway.NoObserver{},
 	})
@@ -99,6 +110,20 @@
 	return nil
 }
 
+// openEvents returns the file for the events of a host, or nil.
+func (d *Deployment) openEvents(host string) (io.Writer, error) {
+	if d.eventDir == "" {
+		return nil, nil
+	}
+	flags := os.O_CREATE | os.O_APPEND | os.O_WRONLY
+	file, err := os.OpenFile(filepath.Join(d.eventDir, host+".jsonl"), flags, eventFileMode)
+	if err != nil {
+		return nil, errors.Wrap(err, "open the event log; choose another --events")
+	}
+	d.files = append(d.files, file)
+	return file, nil
+}
+
 func (d *Deployment) seeds(self string) map[string]string {
 	seeds := make(map[string]string)
 	for _, host := range d.Config.Hosts {
@@ -177,4 +202,7 @@
 	if d.servers != nil {
 		d.servers.close()
 	}
+	for _, file := range d.files {
+		_ = file.Close()
+	}
 }
--- a/internal/dev/program.go
+++ b/internal/dev/program.go
@@ -24,6 +24,9 @@
 	exitUsage  = 2
 )
 
+// eventDirMode lets the owner write and others read.
+const eventDirMode = 0o755
+
 // readyTimeout bounds the start of all deployments.
 const readyTimeout = 15 * time.Second
 
@@ -31,11 +34,11 @@
 type flagSet struct {
 	Duration   time.Duration `long:"duration" default:"10s" description:"length of the run, as a duration with unit (10s, 1m)"`
 	Deployment []string      `long:"deployment" choice:"moravia" choice:"kyushu" description:"deployment to run; repeat for several (default: both)"`
-	Scale      float64       `long:"scale" default:"0.25" description:"load relative to the slot capacity of the backend servers, without unit"`
+	Scale      float64       `long:"scale" default:"0.1" description:"load relative to the slot capacity of the backend servers, without unit"`
 	Heavy      float64       `long:"heavy" default:"1" description:"load of the heavy subscriber on the first service, relative to the scaled capacity, without unit"`
 	Seed       uint64        `long:"seed" default:"1" description:"seed of the random choices of callers and backend servers"`
 	Serve      bool          `long:"serve" description:"stay up without load, print the addresses, and end on SIGINT or SIGTERM"`
-	Events     string        `long:"events" description:"file for the events of all gateways, as JSON lines (default: none)"`
+	Events     string        `long:"events" description:"directory for the event logs of all gateways, one file of JSON lines per host (default: none)"`
 	LogLevels  string        `long:"log" default:"error" description:"log levels, as LEVEL or PART=LEVEL, separated by commas"`
 	Version    bool          `long:"version" description:"print the version and exit"`
 }
@@ -80,17 +83,17 @@
 	if err != nil {
 		return false, err
 	}
-	events, closeEvents, err := openEvents(f.Events)
-	if err != nil {
-		return false, err
+	if f.Events != "" {
+		if err := os.MkdirAll(f.Events, eventDirMode); err != nil {
+			return false, errors.Wrap(err, "create the directory for events; choose another --events")
+		}
 	}
-	defer closeEvents()
 	names := f.Deployment
 	if len(names) == 0 {
 		names = []string{examples.Moravia, examples.Kyushu}
 	}
 	logs := logging.New(os.Stderr, levels)
-	deployments, err := startAll(ctx, names, logs, events, f.Seed)
+	deployments, err := startAll(ctx, names, logs, f.Events, f.Seed)
 	defer closeAll(deployments)
 	if err != nil {
 		return false, err
@@ -101,18 +104,7 @@
 	return runLoad(ctx, f, deployments, out), nil
 }
 
-func openEvents(name string) (io.Writer, func(), error) {
-	if name == "" {
-		return nil, func() {}, nil
-	}
-	file, err := os.Create(name)
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "open the file for events; choose another --events")
-	}
-	return &lockedWriter{w: file}, func() { _ = file.Close() }, nil
-}
-
-func startAll(ctx context.Context, names []string, logs *logging.Logs, events io.Writer, seed uint64) ([]*Deployment, error) {
+func startAll(ctx context.Context, names []string, logs *logging.Logs, events string, seed uint64) ([]*Deployment, error) {
 	var deployments []*Deployment
 	for _, name := range names {
 		c, err := examples.Config(name)
--- a/internal/dev/report.go
+++ b/internal/dev/report.go
@@ -56,7 +56,7 @@
 		r.Imbalance = append(r.Imbalance, imbalance(s.Name, len(s.Servers), executions, start))
 	}
 	r.churn()
-	r.Unavailable = unavailableTime(lightRecords(records), d.keyedServices(), start.Add(duration))
+	r.Unavailable = unavailableTime(availabilityRecords(records, d.keyedServices()), d.keyedServices(), start, start.Add(duration))
 	r.Promises = d.promises(records, executions)
 	return r
 }
@@ -75,14 +75,17 @@
 	_ = histogram.RecordValue(record.Took.Microseconds())
 }
 
-func lightRecords(records []Record) []Record {
-	light := make([]Record, 0, len(records))
+// availabilityRecords returns the requests of the prober for services that are divided by key, and those of all
+// light subscribers for the others.
+func availabilityRecords(records []Record, keyed map[string]bool) []Record {
+	kept := make([]Record, 0, len(records))
 	for _, record := range records {
-		if record.Subscriber != heavySubscriber {
-			light = append(light, record)
+		isProbe := record.Subscriber == probeSubscriber
+		if isProbe == keyed[record.Service] && record.Subscriber != heavySubscriber {
+			kept = append(kept, record)
 		}
 	}
-	return light
+	return kept
 }
 
 func (r *Report) churn() {
--- a/internal/dev/serve.go
+++ b/internal/dev/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"sync"
 )
 
 // serve prints the addresses of all gateways and waits for the end of ctx.
@@ -19,17 +18,3 @@
 	<-ctx.Done()
 	return nil
 }
-
-// lockedWriter lets several event logs share one file.
-type lockedWriter struct {
-	// mu protects the fields below.
-	mu sync.Mutex
-	w  io.Writer
-}
-
-// Write writes p as a whole.
-func (l *lockedWriter) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.w.Write(p)
-}
--- a/internal/dev/traffic.go
+++ b/internal/dev/traffic.go
@@ -35,6 +35,13 @@
 func (t *Traffic) Run(ctx context.Context, list []profile) {
 	var sources sync.WaitGroup
 	for _, p := range list {
+		if p.service.Keyed && p.idempotent != nil {
+			sources.Add(1)
+			go func() {
+				defer sources.Done()
+				t.probe(ctx, p)
+			}()
+		}
 		sources.Add(1)
 		go func(random *rand.Rand) {
 			defer sources.Done()
--- a/internal/dev/unavailable.go
+++ b/internal/dev/unavailable.go
@@ -17,52 +17,58 @@
 	Keys int
 }
 
-// unavailableTime measures, for each key of a keyed service and for each other service as a whole, the time from the first request that was not answered to the next one
-// that was. Refusals that the load itself causes do not count: the key was served, but not for this request.
-func unavailableTime(records []Record, keyed map[string]bool, end time.Time) Unavailable {
-	byKey := make(map[string][]Record)
+// steadyGap is the time between two answers up to which a key counts as served: two requests of the prober and
+// half an interval of jitter.
+const steadyGap = 2*probeInterval + probeInterval/2
+
+// unavailableTime measures, for each key of a keyed service and for each other service as a whole, the time between
+// two successive answers beyond steadyGap. A request that waits for its owner shows in the gap like one that is
+// refused.
+func unavailableTime(records []Record, keyed map[string]bool, start, end time.Time) Unavailable {
+	answers := make(map[string][]time.Time)
 	for _, r := range records {
 		name := r.Service
 		if keyed[r.Service] {
 			name += "/" + r.Key
 		}
-		byKey[name] = append(byKey[name], r)
+		list := answers[name]
+		if r.Result == ResultAnswered {
+			list = append(list, r.Start.Add(r.Took))
+		}
+		answers[name] = list
 	}
 	var u Unavailable
-	for key, list := range byKey {
-		slices.SortFunc(list, func(a, b Record) int { return a.Start.Compare(b.Start) })
-		total := keyUnavailable(list, end)
-		if total > 0 {
-			u.Keys++
-			u.Total += total
-		}
-		if total > u.Worst {
-			u.Worst, u.WorstKey = total, key
-		}
+	for key, list := range answers {
+		longest, total := gaps(list, start, end)
+		u.add(key, longest, total)
 	}
 	return u
 }
 
-func keyUnavailable(list []Record, end time.Time) time.Duration {
-	var total time.Duration
-	var since time.Time
-	for _, r := range list {
-		switch {
-		case isOverload(r):
-		case r.Result != ResultAnswered && since.IsZero():
-			since = r.Start
-		case r.Result == ResultAnswered && !since.IsZero():
-			// A request that waited for its owner is served from its answer on.
-			total += max(0, r.Start.Add(r.Took).Sub(since))
-			since = time.Time{}
-		}
+func (u *Unavailable) add(key string, longest, total time.Duration) {
+	if total == 0 {
+		return
 	}
-	if !since.IsZero() {
-		total += end.Sub(since)
+	u.Keys++
+	u.Total += total
+	if longest > u.Worst {
+		u.Worst, u.WorstKey = longest, key
 	}
-	return total
 }
 
-func isOverload(r Record) bool {
-	return r.Kind == "queue-full" || r.Kind == "deadline-cannot-be-met" || r.Kind == "backend-shed-load"
+// gaps returns the longest gap and the sum of all gaps between start, the answers and end.
+func gaps(answers []time.Time, start, end time.Time) (longest, total time.Duration) {
+	slices.SortFunc(answers, time.Time.Compare)
+	last := start
+	for _, at := range append(answers, end) {
+		if at.After(end) {
+			at = end
+		}
+		if gap := at.Sub(last); gap > steadyGap {
+			total += gap
+			longest = max(longest, gap)
+		}
+		last = at
+	}
+	return longest, total
 }
--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -39,8 +39,13 @@
 	HeaderSubscriber = "Plank-Subscriber"
 	HeaderTimeout    = "Plank-Timeout"
 	HeaderIdentity   = "Idempotency-Key"
+	// HeaderAttempt counts the attempts of a caller, from 1. Without it a request can be a repeat.
+	HeaderAttempt = "Plank-Attempt"
 	// HeaderRequestID is set on each answer and names the request for "explain".
 	HeaderRequestID = "Plank-Request-Id"
 )
 
+// firstAttempt is the value of HeaderAttempt on the first attempt.
+const firstAttempt = "1"
+
 const pathPrefix = "/v1/"
--- a/internal/gateway/convert.go
+++ b/internal/gateway/convert.go
@@ -22,6 +22,7 @@
 		Headers:          toWireHeader(r.Header),
 		Idempotent:       r.Idempotent,
 		Identity:         r.Identity,
+		FirstAttempt:     r.FirstAttempt,
 		Hops:             c.hops + 1,
 		ContentLength:    int64(len(c.body)),
 		Server:           t.server,
@@ -47,6 +48,7 @@
 			Header:        fromWireHeader(head.Headers),
 			Idempotent:    head.Idempotent,
 			Identity:      head.Identity,
+			FirstAttempt:  head.FirstAttempt,
 			ContentLength: head.ContentLength,
 		},
 	}, true
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -177,6 +177,24 @@
 	}
 }
 
+// Guards against the answer "not run" for a request whose first attempt may have run.
+func TestRefusedRepeatKeepsTheOutcomeUnknown(t *testing.T) {
+	var runs atomic.Int64
+	p := newPair(t, fakeHomes{"k1": func(context.Context, *backend.Request) (*backend.Response, error) {
+		if runs.Add(1) == 1 {
+			return nil, outcome.New(outcome.KindConnectionLost, http.StatusBadGateway, outcome.Unknown, "lost")
+		}
+		return nil, outcome.New(outcome.KindDeadline, http.StatusServiceUnavailable, outcome.NotRun, "no time left")
+	}})
+	r, err := http.DefaultClient.Do(p.request(t, http.MethodGet, "/v1/keyed/a", map[string]string{HeaderKey: "k"}, ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if document := problemOf(t, r); document["outcome"] != "unknown" || runs.Load() != 2 {
+		t.Errorf("%d attempts, document %v; want 2 and the outcome unknown", runs.Load(), document)
+	}
+}
+
 // Guards against refusing a request while its key is between two owners.
 func TestRequestWaitsForAnOwner(t *testing.T) {
 	p := newPair(t, fakeHomes{"k1": echo})
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -12,6 +12,7 @@
 // handle routes the call until it is answered, refused for good, or out of time.
 func (g *Gateway) handle(ctx context.Context, c *call) (*backend.Response, *outcome.Problem) {
 	var hold holdTimer
+	mayHaveRun := false
 	for {
 		v := g.view.Load()
 		c.route = v.services[c.request.Service]
@@ -23,16 +24,25 @@
 		if problem == nil {
 			return answer, nil
 		}
-		if ctx.Err() != nil || !g.mayRepeat(c, problem) {
-			return nil, problem
-		}
-		if !g.hold(ctx, &hold, problem) {
-			return nil, problem
+		mayHaveRun = mayHaveRun || problem.Outcome != outcome.NotRun
+		if ctx.Err() != nil || !g.mayRepeat(c, problem) || !g.hold(ctx, &hold, problem) {
+			return nil, finalProblem(problem, mayHaveRun)
 		}
 		g.options.Observer.Retried(c.request.Service)
 	}
 }
 
+// finalProblem keeps a refusal of the last attempt from hiding that an earlier attempt may have run.
+func finalProblem(p *outcome.Problem, mayHaveRun bool) *outcome.Problem {
+	if p.Outcome != outcome.NotRun || !mayHaveRun {
+		return p
+	}
+	unknown := *p
+	unknown.Outcome = outcome.Unknown
+	unknown.Detail = "an earlier attempt may have run, and the last one was refused: " + p.Detail
+	return &unknown
+}
+
 // attempt sends the call to one target.
 func (g *Gateway) attempt(ctx context.Context, v *View, c *call) (*backend.Response, *outcome.Problem) {
 	t, problem := g.target(v, c)
--- a/internal/gateway/parse.go
+++ b/internal/gateway/parse.go
@@ -54,6 +54,7 @@
 		Key:           r.Header.Get(HeaderKey),
 		Subscriber:    r.Header.Get(HeaderSubscriber),
 		Identity:      r.Header.Get(HeaderIdentity),
+		FirstAttempt:  r.Header.Get(HeaderAttempt) == firstAttempt,
 		Method:        r.Method,
 		Path:          withQuery(rest, r.URL.RawQuery),
 		Header:        r.Header,
--- a/internal/home/admit.go
+++ b/internal/home/admit.go
@@ -76,7 +76,8 @@
 	if earlier := d.identities.find(key, now); earlier != nil {
 		return earlier, nil
 	}
-	if !d.identities.covers(t.req.Identity, t.scope.since) {
+	// The first attempt cannot have run before, so the age of its identity does not matter.
+	if !t.req.FirstAttempt && !d.identities.covers(t.req.Identity, t.scope.since) {
 		return nil, identityTooOld()
 	}
 	t.identity = d.identities.add(key, now)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -10,7 +11,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/sapphireplank/sapphireplank/internal/cell"
 	"github.com/sapphireplank/sapphireplank/internal/control"
 	"github.com/sapphireplank/sapphireplank/internal/gateway"
 	"github.com/sapphireplank/sapphireplank/internal/logging"
@@ -31,7 +31,6 @@
 	Seeds  map[string]string
 	Store  store.Store
 	Dial   peer.DialFunc
-	Assign cell.AssignFunc
 	Events *timeline.Log
 	Logs   *logging.Logs
 	// Observer counts requests.
@@ -92,7 +91,6 @@
 		Sender:      n.pool,
 		Store:       o.Store,
 		Start:       n.start,
-		Assign:      o.Assign,
 		Clock:       o.Events,
 		Recorder:    o.Events,
 		Publisher:   &publisher{host: o.Host, homes: n.homes, gateway: n.gateway},
@@ -130,7 +128,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    gateway.MaxHeaderBytes,
-		ErrorLog:          nil,
+		ErrorLog:          log.New(n.log.WriterLevel(logrus.DebugLevel), "", 0),
 	}
 	go func() { _ = n.peers.Serve(peers) }()
 	go func() { _ = n.callers.Serve(callers) }()
