--- /dev/null
+++ b/internal/backend/codec_test.go
@@ -0,0 +1,44 @@
+package backend_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/sapphireplank/sapphireplank/internal/backend"
+	"github.com/sapphireplank/sapphireplank/internal/fence"
+)
+
+func token(seq uint64) fence.Token { return fence.Token{Generation: 1, Term: 1, Seq: seq} }
+
+// FuzzParseScope guards against scopes that change on their way through text.
+func FuzzParseScope(f *testing.F) {
+	for _, seed := range []string{"p0", "p65535", "p65536", "k", "ka%20b", "k%zz", "x1", "p-1", "p00017"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		scope, err := backend.ParseScope(text)
+		if err != nil {
+			return
+		}
+		again, err := backend.ParseScope(scope.String())
+		if err != nil || again != scope {
+			t.Fatalf("%q: %v became %v (%v)", text, scope, again, err)
+		}
+	})
+}
+
+// FuzzStripConnectionHeaders guards against hop-by-hop headers that pass through.
+func FuzzStripConnectionHeaders(f *testing.F) {
+	f.Add("X-A, close", "X-A", "1")
+	f.Add(", ,", "Transfer-Encoding", "chunked")
+	f.Add("te", "TE", "trailers")
+	f.Fuzz(func(t *testing.T, connection, name, value string) {
+		h := http.Header{"Connection": {connection}, name: {value}, "Keep": {"1"}}
+		backend.StripConnectionHeaders(h)
+		for _, gone := range []string{"Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade"} {
+			if h.Get(gone) != "" {
+				t.Fatalf("%s is left in %v", gone, h)
+			}
+		}
+	})
+}
--- a/internal/home/assignment.go
+++ b/internal/home/assignment.go
@@ -24,9 +24,13 @@
 	Elsewhere map[string]bool
 }
 
-// AssignmentOf returns the assignment of a backend server according to the ownership of its service.
+// AssignmentOf returns the assignment of a backend server according to the ownership of its service. It is
+// empty if view is nil.
 func AssignmentOf(view *cell.ServiceView, server string) Assignment {
 	assignment := Assignment{Elsewhere: make(map[string]bool)}
+	if view == nil {
+		return assignment
+	}
 	for partition, owner := range view.Owners {
 		if owner.Server == server {
 			scope := backend.Scope{Partition: keyspace.Partition(partition)}
--- a/internal/home/health.go
+++ b/internal/home/health.go
@@ -35,8 +35,15 @@
 // and the server's own report, which lag and can be wrong in both directions.
 type healthState struct {
 	judgement Health
-	failures  int
-	good      int
+	// suspect is true while the server reports that it is failing. The report alone has no effect; with it,
+	// one failure is enough.
+	suspect bool
+	// failures and probeFailures count successive failed requests and probes. They are kept apart because a
+	// server can answer one and not the other.
+	failures      int
+	probeFailures int
+	// good counts successive good probes of a server that is down.
+	good int
 	// lastAnswer is the time of the last answered request.
 	lastAnswer time.Time
 	// trial is true until a server that came back has answered a request. It gets one at a time.
@@ -58,6 +65,7 @@
 func (h *healthState) answered(now time.Time) {
 	h.lastAnswer = now
 	h.failures = 0
+	h.probeFailures = 0
 	h.trial = false
 	h.backoff = trialBackoff
 	if h.judgement == HealthDown {
@@ -71,23 +79,26 @@
 		h.down(now)
 		return
 	}
-	h.fail(now)
+	h.failures++
+	if h.suspect || h.failures >= failuresUntilDown {
+		h.down(now)
+	}
 }
 
 // probed records a probe or renewal. err is nil if the server answered.
 func (h *healthState) probed(now time.Time, report backend.Health, err error) {
-	if err != nil || report.State == backend.StateFailing {
+	if err != nil {
 		h.good = 0
-		if now.Sub(h.lastAnswer) >= ownEvidence {
-			h.fail(now)
+		h.probeFailures++
+		if h.probeFailures >= failuresUntilDown && now.Sub(h.lastAnswer) >= ownEvidence {
+			h.down(now)
 		}
 		return
 	}
+	h.probeFailures = 0
+	h.suspect = report.State == backend.StateFailing
 	h.drained(now, report.State == backend.StateDraining)
 	if h.judgement != HealthDown {
-		// A good probe makes up for one failure only, so that a server that answers probes but no requests
-		// is found.
-		h.failures = max(0, h.failures-1)
 		return
 	}
 	h.good++
@@ -105,8 +116,17 @@
 		h.drainSince = time.Time{}
 		h.refusedDraining = false
 	}
-	if h.judgement != HealthDown {
-		h.up()
+	h.judgeDrain()
+}
+
+// judgeDrain keeps the judgement of a server that is not down in line with its drain.
+func (h *healthState) judgeDrain() {
+	switch {
+	case h.judgement == HealthDown:
+	case h.drainSince.IsZero():
+		h.judgement = HealthUp
+	default:
+		h.judgement = HealthDraining
 	}
 }
 
@@ -116,16 +136,7 @@
 	if h.drainSince.IsZero() {
 		h.drainSince = now
 	}
-	if h.judgement != HealthDown {
-		h.judgement = HealthDraining
-	}
-}
-
-func (h *healthState) fail(now time.Time) {
-	h.failures++
-	if h.failures >= failuresUntilDown {
-		h.down(now)
-	}
+	h.judgeDrain()
 }
 
 func (h *healthState) down(now time.Time) {
@@ -142,9 +153,8 @@
 func (h *healthState) up() {
 	h.judgement = HealthUp
 	h.failures = 0
-	if !h.drainSince.IsZero() {
-		h.judgement = HealthDraining
-	}
+	h.probeFailures = 0
+	h.judgeDrain()
 }
 
 // usableSlots returns how many of the slots may be used.
--- a/internal/standin/answer.go
+++ b/internal/standin/answer.go
@@ -18,8 +18,11 @@
 
 // answer sends the answer of an executed request, as the fault wants it.
 func (s *Server) answer(w http.ResponseWriter, fault Fault) {
-	body := s.options.Body
 	id := w.Header().Get(backend.HeaderRequestID)
+	body := s.options.Body
+	if body == nil {
+		body = []byte(s.options.Name + " " + id)
+	}
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n", backend.HeaderRequestID, id)
 	length := fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))
 	complete := head + length + string(body)
--- a/internal/standin/counters.go
+++ b/internal/standin/counters.go
@@ -53,6 +53,19 @@
 	return most
 }
 
+// RepeatedIdentities returns the number of request identities that were executed more than once.
+func (s *Server) RepeatedIdentities() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	repeated := 0
+	for _, n := range s.identityRuns {
+		if n > 1 {
+			repeated++
+		}
+	}
+	return repeated
+}
+
 // Forget drops the counts per request and identity.
 func (s *Server) Forget() {
 	s.mu.Lock()
--- a/internal/standin/listener.go
+++ b/internal/standin/listener.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -76,6 +77,35 @@
 	return conn, nil
 }
 
+// idleConns holds the connections without a request in progress.
+type idleConns struct {
+	mu    sync.Mutex // mu protects the fields below
+	conns map[net.Conn]struct{}
+}
+
+// track follows the state of a connection.
+func (i *idleConns) track(conn net.Conn, state http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.conns == nil {
+		i.conns = make(map[net.Conn]struct{})
+	}
+	if state == http.StateIdle {
+		i.conns[conn] = struct{}{}
+	} else {
+		delete(i.conns, conn)
+	}
+}
+
+// CloseIdle closes the connections that have no request in progress.
+func (s *Server) CloseIdle() {
+	s.idle.mu.Lock()
+	defer s.idle.mu.Unlock()
+	for conn := range s.idle.conns {
+		_ = conn.Close() // the cut is the point
+	}
+}
+
 // connState follows one connection.
 type connState struct {
 	requests atomic.Int64
--- a/internal/standin/options.go
+++ b/internal/standin/options.go
@@ -33,7 +33,7 @@
 	// ColdStart is the time after the start in which executions take ColdFactor times as long.
 	ColdStart  time.Duration
 	ColdFactor float64
-	// Body is the body of each answer. Default: the name of the server.
+	// Body is the body of each answer. Default: the name of the server and the request id.
 	Body []byte
 	// Observer is told about each execution. Default: none.
 	Observer Observer
@@ -63,8 +63,5 @@
 	if o.ColdFactor == 0 {
 		o.ColdFactor = 1
 	}
-	if o.Body == nil {
-		o.Body = []byte(o.Name)
-	}
 	return o
 }
--- a/internal/standin/request.go
+++ b/internal/standin/request.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"strconv"
@@ -9,8 +10,11 @@
 	"github.com/sapphireplank/sapphireplank/internal/backend"
 )
 
-// idempotencyKey is the header with the request identity.
-const idempotencyKey = "Idempotency-Key"
+// The headers with the request identity.
+const (
+	idempotencyKey  = "Idempotency-Key"
+	xIdempotencyKey = "X-Idempotency-Key"
+)
 
 func (s *Server) request(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(backend.HeaderRequestID, r.Header.Get(backend.HeaderRequestID))
@@ -57,7 +61,7 @@
 	return Execution{
 		Server:     s.options.Name,
 		RequestID:  r.Header.Get(backend.HeaderRequestID),
-		Identity:   r.Header.Get(idempotencyKey),
+		Identity:   cmp.Or(r.Header.Get(idempotencyKey), r.Header.Get(xIdempotencyKey)),
 		Subscriber: r.Header.Get(backend.HeaderSubscriber),
 		Key:        r.Header.Get(backend.HeaderKey),
 		Scope:      r.Header.Get(backend.HeaderScope),
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -18,6 +18,7 @@
 	options Options
 	http    *http.Server
 	memory  *memoryListener
+	idle    idleConns
 	started time.Time
 
 	mu       sync.Mutex // mu protects the fields below
@@ -49,6 +50,7 @@
 	}
 	s.http = &http.Server{
 		Handler:     s.handler(),
+		ConnState:   s.idle.track,
 		ConnContext: withConnState,
 		ErrorLog:    log.New(io.Discard, "", 0), // cut connections are intended
 	}
