--- a/internal/standin/request.go
+++ b/internal/standin/request.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"strconv"
@@ -9,9 +10,10 @@
 	"github.com/sapphireplank/sapphireplank/internal/backend"
 )
 
+// Headers with the request identity.
 const (
-	// idempotencyKey is the header with the request identity.
-	idempotencyKey = "Idempotency-Key"
+	idempotencyKey  = "Idempotency-Key"
+	xIdempotencyKey = "X-Idempotency-Key"
 	// HeaderIdentityEcho repeats the request identity in each answer, so that a caller can tell whether the
 	// answer is its own.
 	HeaderIdentityEcho = "Standin-Identity"
@@ -63,7 +65,7 @@
 	return Execution{
 		Server:     s.options.Name,
 		RequestID:  r.Header.Get(backend.HeaderRequestID),
-		Identity:   r.Header.Get(idempotencyKey),
+		Identity:   cmp.Or(r.Header.Get(idempotencyKey), r.Header.Get(xIdempotencyKey)),
 		Subscriber: r.Header.Get(backend.HeaderSubscriber),
 		Key:        r.Header.Get(backend.HeaderKey),
 		Scope:      r.Header.Get(backend.HeaderScope),
