--- a/internal/cell/faults.go
+++ b/internal/cell/faults.go
@@ -19,6 +19,8 @@
 	leaseFromReceipt bool
 	// noHomeWait breaks H3: servers of a silent home move at once.
 	noHomeWait bool
+	// leaseDisplaced breaks H3: a home gets a lease before the loss of its servers is published.
+	leaseDisplaced bool
 	// noRelease breaks H4: a partition moves without a release.
 	noRelease bool
 	// acceptOldTerms breaks the rule that messages of a lower generation and term are ignored.
--- a/internal/cell/holder.go
+++ b/internal/cell/holder.go
@@ -144,8 +144,8 @@
 	n.selfHeartbeat(now)
 	n.expireMembers(now)
 	n.plan(now)
-	n.handOver(now)
 	n.writeStore(now)
+	n.handOver(now)
 }
 
 // renew sends a renewal to the successor if one is due. It is sent also after the lease ended: an acknowledgement
--- a/internal/cell/homes.go
+++ b/internal/cell/homes.go
@@ -66,7 +66,7 @@
 		target := leastLoaded(targets, e.service)
 		target.servers++
 		target.byService[e.service]++
-		n.grantServer(name, target.member)
+		n.grantServer(now, name, target.member)
 	}
 	if !busy && len(homeless) == 0 {
 		n.evenOutHomes(targets)
--- a/internal/cell/membership.go
+++ b/internal/cell/membership.go
@@ -47,7 +47,7 @@
 	}
 	n.takeHeartbeat(now, from, record, hb)
 	reply := &wire.HeartbeatReply{Seq: hb.Seq}
-	if now >= h.noLeaseUntil {
+	if now >= h.noLeaseUntil && !n.displaced(from) {
 		reply.Lease = true
 		record.leaseEnd = now + withDrift(HomeLease)
 	}
@@ -62,6 +62,24 @@
 	n.send(from, &wire.Control{Body: &wire.Control_HeartbeatReply{HeartbeatReply: reply}})
 }
 
+// displaced reports whether the published table still names the process as home of a server that the ledger took
+// from it when its lease was over. A lease would then revive what has moved; it must wait until the successor has the
+// change (H3).
+func (n *Node) displaced(member Member) bool {
+	if n.faults.leaseDisplaced {
+		return false
+	}
+	for name, published := range n.table.servers {
+		if published.home != member || published.releasing {
+			continue
+		}
+		if e, ok := n.holder.ledger.table.servers[name]; !ok || e.home != member || e.token != published.token {
+			return true
+		}
+	}
+	return false
+}
+
 // selfHeartbeat lets the holder take the reports of its own home and renews its home lease, which never outlives
 // the authority (H1).
 func (n *Node) selfHeartbeat(now time.Duration) {
--- a/internal/cell/moves.go
+++ b/internal/cell/moves.go
@@ -180,11 +180,15 @@
 	}
 }
 
-// grantServer gives a server a home. All its units get new tokens, above those of the former home.
-func (n *Node) grantServer(name string, home Member) {
+// grantServer gives a server a home, and time to fetch its first lease. All units of the server get new tokens, above
+// those of the former home.
+func (n *Node) grantServer(now time.Duration, name string, home Member) {
 	h := n.holder
 	e := *h.ledger.table.servers[name]
 	e.home, e.token, e.releasing = home, n.nextToken(), false
+	if record := h.members[home]; record != nil {
+		record.leaseEnd = max(record.leaseEnd, now+withDrift(HomeLease))
+	}
 	h.ledger.putServer(e)
 	var units []unit
 	h.ledger.table.unitsOf(name, func(u unit, _ Owner) { units = append(units, u) })
--- a/internal/cell/units.go
+++ b/internal/cell/units.go
@@ -153,7 +153,8 @@
 	h := n.holder
 	for _, key := range slices.Sorted(maps.Keys(t.hot)) {
 		u := unit{service: service, key: key}
-		if owner, _ := h.ledger.table.owner(u); owner.Server != d.keys[key] {
+		want, wanted := d.keys[key]
+		if owner, _ := h.ledger.table.owner(u); !wanted || owner.Server != want {
 			n.vacate(u)
 		}
 	}
