--- a/internal/questionnaire/parse.go
+++ b/internal/questionnaire/parse.go
@@ -68,6 +68,8 @@
 	answers *Answers
 	faults  *config.Faults
 	seen    map[string]bool
+	// misnamed counts the sections that are not known.
+	misnamed int
 }
 
 func (p *parser) section(raw *ini.Section) {
@@ -83,6 +85,7 @@
 	words := strings.Fields(raw.Name())
 	read, ok := p.reader(words)
 	if !ok {
+		p.misnamed++
 		p.faults.Add(raw.Name(), "", "", "is not a section of the questionnaire", "use "+sectionForms)
 		return
 	}
@@ -127,21 +130,29 @@
 	return form.read, ok && len(words) == 1+form.names
 }
 
+// requireSections adds a fault for each section that is missing, unless the misnamed sections explain them.
 func (p *parser) requireSections() {
+	var missing config.Faults
 	for _, name := range []string{"team", "preference", "losses"} {
 		if !p.seen[name] {
-			p.faults.Add(name, "", "", "is missing", "add the section; plankctl init shows it")
+			missing.Add(name, "", "", "is missing", "add the section; plankctl init shows it")
 		}
 	}
-	p.requireKind("region", "region NAME")
-	p.requireKind("service", "service NAME")
+	for _, kind := range []string{"region", "service"} {
+		if !p.hasKind(kind) {
+			missing.Add(kind+" NAME", "", "", "is missing", "add at least one; plankctl init shows it")
+		}
+	}
+	if len(missing) > p.misnamed {
+		*p.faults = append(*p.faults, missing...)
+	}
 }
 
-func (p *parser) requireKind(kind, form string) {
+func (p *parser) hasKind(kind string) bool {
 	for name := range p.seen {
 		if strings.HasPrefix(name, kind+" ") {
-			return
+			return true
 		}
 	}
-	p.faults.Add(form, "", "", "is missing", "add at least one; plankctl init shows it")
+	return false
 }
--- /dev/null
+++ b/internal/questionnaire/questionnaire_test.go
@@ -0,0 +1,163 @@
+package questionnaire_test
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+
+	"github.com/sapphireplank/sapphireplank/examples"
+	"github.com/sapphireplank/sapphireplank/internal/config"
+	"github.com/sapphireplank/sapphireplank/internal/questionnaire"
+	"github.com/sapphireplank/sapphireplank/internal/questionnaire/questionnairetest"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204") // the verdict must not depend on the run
+	}
+	os.Exit(m.Run())
+}
+
+// Guards against bad answers that pass, that are reported without place or remedy, or that hide behind others.
+func TestEachBadAnswerGivesOneClearFault(t *testing.T) {
+	for _, bad := range questionnairetest.All {
+		text := bad.Text()
+		if bytes.Equal(text, questionnaire.Template) {
+			t.Errorf("edit %q does not apply", bad.Old)
+			continue
+		}
+		_, err := questionnaire.Parse(text)
+		var faults config.Faults
+		if !errors.As(err, &faults) || len(faults) != 1 || !strings.Contains(faults.Error(), bad.Want) || faults[0].Remedy == "" {
+			t.Errorf("want %s\ngot  %v", bad.Want, err)
+		}
+	}
+}
+
+// Guards against a check that stops at the first fault.
+func TestAllFaultsAreNamedAtOnce(t *testing.T) {
+	text := string(questionnaire.Template)
+	for _, edit := range [][2]string{{"name = my-team", "name = My"}, {"slots = 3", "slots = x"}, {"count = 2", "count = 0"}, {"tolerated =", "tolerate ="}} {
+		text = strings.Replace(text, edit[0], edit[1], 1)
+	}
+	_, err := questionnaire.Parse([]byte(text))
+	var faults config.Faults
+	if !errors.As(err, &faults) || len(faults) != 5 {
+		t.Errorf("got %v", err)
+	}
+}
+
+// Guards against a configuration that depends on the order of sections, of answers in a section, or of lists
+// without order, and against a generator that is not deterministic.
+func TestOrderOfAnswersDoesNotMatter(t *testing.T) {
+	for _, name := range []string{examples.Moravia, examples.Kyushu} {
+		text, err := examples.Text(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := encode(t, text)
+		rapid.Check(t, func(t *rapid.T) {
+			if got := encode(t, []byte(permute(t, string(text)))); !bytes.Equal(got, want) {
+				t.Fatalf("got  %s\nwant %s", got, want)
+			}
+		})
+	}
+}
+
+func encode(t rapid.TB, text []byte) []byte {
+	result, err := questionnaire.FromText(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	document, err := result.Config.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return document
+}
+
+func permute(t *rapid.T, text string) string {
+	sections := rapid.Permutation(strings.Split(text, "\n[")[1:]).Draw(t, "sections")
+	for i, section := range sections {
+		var answers []string
+		head, body, _ := strings.Cut(section, "\n")
+		for line := range strings.SplitSeq(body, "\n") {
+			if key, value, ok := strings.Cut(line, " = "); ok && !strings.HasPrefix(line, "#") {
+				if key == "zones" || key == "idempotent" || key == "tolerated" {
+					value = strings.Join(rapid.Permutation(strings.Split(value, ", ")).Draw(t, key), ", ")
+				}
+				answers = append(answers, key+" = "+value)
+			}
+		}
+		sections[i] = "[" + head + "\n" + strings.Join(rapid.Permutation(answers).Draw(t, "answers"), "\n")
+	}
+	return strings.Join(sections, "\n")
+}
+
+// Guards against hosts and backend servers that change their cell when others are added, and against cells that are
+// too large or without servers.
+func TestCellsStayWhenHostsAreAdded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts, servers := rapid.IntRange(2, 100).Draw(t, "hosts"), rapid.IntRange(1, 100).Draw(t, "servers")
+		before, after := grown(t, hosts, servers), grown(t, hosts+1, servers+1)
+		if len(before.Cells()) == len(after.Cells()) {
+			if changes := before.Diff(after).Changes; len(changes) != 2 || changes[0].Kind != config.ChangeAdded || changes[1].Kind != config.ChangeAdded {
+				t.Fatalf("changes %v", changes)
+			}
+		}
+		sizes := make(map[string]int)
+		for _, server := range before.Services[0].Servers {
+			if server.Zone == "zone-a" {
+				sizes[server.Cell]++
+			}
+		}
+		for _, cell := range before.Cells()[:len(before.Cells())-1] {
+			if low := servers / (len(before.Cells()) - 1); sizes[cell] < low || sizes[cell] > low+1 {
+				t.Fatalf("cell %s has %d of %d servers", cell, sizes[cell], servers)
+			}
+		}
+	})
+}
+
+func grown(t *rapid.T, hosts, servers int) *config.Config {
+	answers, err := questionnaire.Parse(questionnaire.Template)
+	if err != nil {
+		t.Fatal(err)
+	}
+	answers.Hosts[0].Count, answers.Hosts[0].Racks, answers.Servers[0].Count = hosts, nil, servers
+	result, err := questionnaire.Generate(answers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result.Config
+}
+
+// Guards against derived values that are not explained.
+func TestDerivedValuesNameTheirAnswers(t *testing.T) {
+	result, err := questionnaire.FromText(questionnaire.Template)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var lines []string
+	for _, derived := range result.Derived {
+		lines = append(lines, derived.String())
+	}
+	text := strings.Join(lines, "\n")
+	for _, want := range []string{
+		"zone zone-a: cells = 1 cells; from [hosts zone-a] count; the least number with at most 12 hosts each",
+		"peer 10.0.0.1:7000 to 10.0.0.2:7000", "service lookup: longest execution = 400 ms; from [service lookup] max-request-millis; default",
+		"service lookup: partitions = 1024 partitions; from [service lookup] partitions; default",
+		"service lookup: partitions in cell zone-b-c01 = 512 partitions; from [servers lookup ZONE] weight",
+		"service lookup: connections used = 5 connections per backend server", "service lookup: capacity = 12 requests at a time",
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is not explained in:\n%s", want, text)
+		}
+	}
+}
