--- /dev/null
+++ b/internal/admin/problem.go
@@ -0,0 +1,76 @@
+package admin
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sapphireplank/sapphireplank/internal/accept"
+	"github.com/sapphireplank/sapphireplank/internal/config"
+	"github.com/sapphireplank/sapphireplank/internal/outcome"
+)
+
+// Kinds of problems of the administration API, besides those of package outcome.
+const (
+	KindUnauthorized     outcome.Kind = "unauthorized"
+	KindForbidden        outcome.Kind = "forbidden"
+	KindNotFound         outcome.Kind = "not-found"
+	KindMethod           outcome.Kind = "method-not-allowed"
+	KindNotProvided      outcome.Kind = "not-provided"
+	KindNeedsRevision    outcome.Kind = "revision-required"
+	KindConflict         outcome.Kind = "revision-conflict"
+	KindIDReused         outcome.Kind = "id-reused"
+	KindInvalid          outcome.Kind = "invalid-configuration"
+	KindUnsafe           outcome.Kind = "unsafe-revision"
+	KindStoreDown        outcome.Kind = "store-down"
+	KindUndecided        outcome.Kind = "accept-undecided"
+	KindStoreBehind      outcome.Kind = "store-behind"
+	storeRetryAfter                   = 5 * time.Second
+	undecidedRetryAfter               = time.Second
+	authenticateResponse              = `Bearer realm="administration"`
+)
+
+// problemClass maps an error to a problem.
+type problemClass struct {
+	is         error
+	kind       outcome.Kind
+	status     int
+	outcome    outcome.Outcome
+	retryAfter time.Duration
+}
+
+// problemClasses holds the errors of the sources. An undecided accept can also match another class, so it is first.
+var problemClasses = []problemClass{
+	{accept.ErrUndecided, KindUndecided, http.StatusServiceUnavailable, outcome.Unknown, undecidedRetryAfter},
+	{accept.ErrStoreDown, KindStoreDown, http.StatusServiceUnavailable, outcome.NotRun, storeRetryAfter},
+	{accept.ErrStoreBehind, KindStoreBehind, http.StatusServiceUnavailable, outcome.NotRun, storeRetryAfter},
+	{accept.ErrConflict, KindConflict, http.StatusPreconditionFailed, outcome.NotRun, 0},
+	{accept.ErrIDReused, KindIDReused, http.StatusConflict, outcome.NotRun, 0},
+	{accept.ErrNoID, outcome.KindMissingHeader, http.StatusBadRequest, outcome.NotRun, 0},
+	{accept.ErrNone, KindNotFound, http.StatusNotFound, outcome.NotRun, 0},
+	{accept.ErrNoStop, KindNotFound, http.StatusNotFound, outcome.NotRun, 0},
+	{accept.ErrNoTarget, KindNotFound, http.StatusNotFound, outcome.NotRun, 0},
+	{ErrNotFound, KindNotFound, http.StatusNotFound, outcome.NotRun, 0},
+	{config.ErrInvalid, KindInvalid, http.StatusUnprocessableEntity, outcome.NotRun, 0},
+	{config.ErrUnsafe, KindUnsafe, http.StatusUnprocessableEntity, outcome.NotRun, 0},
+	{config.ErrSyntax, outcome.KindBadRequest, http.StatusBadRequest, outcome.NotRun, 0},
+	{config.ErrTooLarge, outcome.KindTooLarge, http.StatusRequestEntityTooLarge, outcome.NotRun, 0},
+}
+
+// problemOf returns the problem for an error of a source.
+func problemOf(err error) *outcome.Problem {
+	var problem *outcome.Problem
+	if errors.As(err, &problem) {
+		return problem
+	}
+	for _, class := range problemClasses {
+		if errors.Is(err, class.is) {
+			problem := outcome.New(class.kind, class.status, class.outcome, err.Error())
+			problem.RetryAfter = class.retryAfter
+			return problem
+		}
+	}
+	return outcome.New(outcome.KindInternal, http.StatusInternalServerError, outcome.Unknown,
+		"the gateway could not answer; its log says why")
+}
