--- a/internal/assign/heap.go
+++ b/internal/assign/heap.go
@@ -3,14 +3,26 @@
 // serverHeap orders servers by a key, least first, and can move one server after its key changed. The key of a
 // maximum heap is negated by the caller.
 type serverHeap struct {
-	servers []int32
-	keys    []float64
-	// position holds the place of each server in servers, or -1.
+	entries []heapEntry
+	// position holds the place of each server in entries, or -1.
 	position []int32
 }
 
+// heapEntry keeps the key beside the server, so that comparisons stay within the heap.
+type heapEntry struct {
+	key    float64
+	server int32
+}
+
+func (e heapEntry) less(other heapEntry) bool {
+	if e.key != other.key {
+		return e.key < other.key
+	}
+	return e.server < other.server
+}
+
 func newServerHeap(count int) *serverHeap {
-	h := &serverHeap{keys: make([]float64, count), position: make([]int32, count)}
+	h := &serverHeap{entries: make([]heapEntry, 0, count), position: make([]int32, count)}
 	for i := range h.position {
 		h.position[i] = -1
 	}
@@ -18,78 +30,61 @@
 }
 
 func (h *serverHeap) len() int {
-	return len(h.servers)
+	return len(h.entries)
 }
 
 func (h *serverHeap) top() int32 {
-	return h.servers[0]
+	return h.entries[0].server
 }
 
 // set adds a server or changes its key.
 func (h *serverHeap) set(server int32, key float64) {
-	h.keys[server] = key
-	if h.position[server] < 0 {
-		h.position[server] = int32(len(h.servers))
-		h.servers = append(h.servers, server)
+	at := int(h.position[server])
+	if at < 0 {
+		at = len(h.entries)
+		h.entries = append(h.entries, heapEntry{})
 	}
-	h.up(int(h.position[server]))
-	h.down(int(h.position[server]))
+	h.restore(at, heapEntry{key: key, server: server})
 }
 
 // remove takes a server out, if it is in the heap.
 func (h *serverHeap) remove(server int32) {
-	at := h.position[server]
+	at := int(h.position[server])
 	if at < 0 {
 		return
 	}
-	last := len(h.servers) - 1
-	h.swap(int(at), last)
-	h.servers = h.servers[:last]
+	last := h.entries[len(h.entries)-1]
+	h.entries = h.entries[:len(h.entries)-1]
 	h.position[server] = -1
-	if int(at) < last {
-		h.up(int(at))
-		h.down(int(at))
-	}
-}
-
-func (h *serverHeap) less(i, j int) bool {
-	a, b := h.servers[i], h.servers[j]
-	if h.keys[a] != h.keys[b] {
-		return h.keys[a] < h.keys[b]
+	if at < len(h.entries) {
+		h.restore(at, last)
 	}
-	return a < b
-}
-
-func (h *serverHeap) swap(i, j int) {
-	h.servers[i], h.servers[j] = h.servers[j], h.servers[i]
-	h.position[h.servers[i]] = int32(i)
-	h.position[h.servers[j]] = int32(j)
 }
 
-func (h *serverHeap) up(i int) {
-	for i > 0 {
-		parent := (i - 1) / 2
-		if !h.less(i, parent) {
-			return
-		}
-		h.swap(i, parent)
-		i = parent
+// restore puts an entry at the free place at, or where the order wants it.
+func (h *serverHeap) restore(at int, entry heapEntry) {
+	for at > 0 && entry.less(h.entries[(at-1)/2]) {
+		h.place(at, h.entries[(at-1)/2])
+		at = (at - 1) / 2
 	}
-}
-
-func (h *serverHeap) down(i int) {
 	for {
-		least := 2*i + 1
-		if least >= len(h.servers) {
-			return
+		least := 2*at + 1
+		if least >= len(h.entries) {
+			break
 		}
-		if right := least + 1; right < len(h.servers) && h.less(right, least) {
+		if right := least + 1; right < len(h.entries) && h.entries[right].less(h.entries[least]) {
 			least = right
 		}
-		if !h.less(least, i) {
-			return
+		if !h.entries[least].less(entry) {
+			break
 		}
-		h.swap(i, least)
-		i = least
+		h.place(at, h.entries[least])
+		at = least
 	}
+	h.place(at, entry)
+}
+
+func (h *serverHeap) place(at int, entry heapEntry) {
+	h.entries[at] = entry
+	h.position[entry.server] = int32(at)
 }
