--- /dev/null
+++ b/internal/keyspace/partition_test.go
@@ -0,0 +1,57 @@
+package keyspace
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// Guards against a hash that leaves partitions empty or overfull, or partitions out of range: with 256 keys in each
+// partition on average, a fair hash stays within 6 standard deviations (96 keys).
+func TestKeysSpreadEvenly(t *testing.T) {
+	const count, perPartition = 1024, 256
+	keys := make([]int, count)
+	for i := range count * perPartition {
+		keys[Of(fmt.Sprintf("subscriber-%d/parcel", i), count)]++
+	}
+	for partition, n := range keys {
+		if n < perPartition-96 || n > perPartition+96 {
+			t.Errorf("partition %d has %d keys, want about %d", partition, n, perPartition)
+		}
+	}
+}
+
+// Guards against a change of the hash, after which gateways of two versions disagree about every key, and against
+// halves of a partition that do not descend from it when the count doubles.
+func TestPartitionIsStable(t *testing.T) {
+	// The lowest 16 bits of the published xxhash64 values.
+	for key, want := range map[string]Partition{"": 0xe999, "a": 0x6e5b, "abc": 0x0999} {
+		got := Of(key, 1<<16)
+		if got != want || Of(key, 1<<10) != want%(1<<10) || Of(key, 1) != 0 {
+			t.Errorf("Of(%q) = %d, want %d", key, got, want)
+		}
+	}
+}
+
+// Guards against a count of partitions that the mask in Of cannot represent.
+func TestIsCount(t *testing.T) {
+	for n, want := range map[int]bool{-1: false, 0: false, 1: true, 3: false, 1024: true, MaxPartitions: true, 2 * MaxPartitions: false} {
+		if IsCount(n) != want {
+			t.Errorf("IsCount(%d) = %v, want %v", n, !want, want)
+		}
+	}
+}
+
+var sink Partition
+
+func BenchmarkOf(b *testing.B) {
+	for _, length := range []int{8, 32, 128} {
+		b.Run(fmt.Sprintf("key=%dB", length), func(b *testing.B) {
+			key := strings.Repeat("k", length)
+			b.ReportAllocs()
+			for b.Loop() {
+				sink = Of(key, 1024)
+			}
+		})
+	}
+}
