--- /dev/null
+++ b/internal/assign/tracker.go
@@ -0,0 +1,131 @@
+package assign
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/keyspace"
+)
+
+// Tracker smooths the work that homes report into the loads of an Input. It moves the load of a key between its
+// partition and its override when the override starts or ends. A Tracker is not safe for concurrent use.
+type Tracker struct {
+	halfLife time.Duration
+	// pending is the work of each partition since the last Advance.
+	pending []float64
+	// rates are the averages of the partitions, all of them with the same weight.
+	rates  []float64
+	weight EWMA
+	keys   map[string]*trackedKey
+	heavy  []KeyLoad
+}
+
+// trackedKey is a key with an override.
+type trackedKey struct {
+	pending float64
+	average EWMA
+}
+
+// NewTracker returns a tracker for a service with count partitions. A reading counts half after halfLife.
+func NewTracker(count int, halfLife time.Duration) *Tracker {
+	return &Tracker{
+		halfLife: halfLife,
+		pending:  make([]float64, count),
+		rates:    make([]float64, count),
+		keys:     make(map[string]*trackedKey),
+	}
+}
+
+// AddPartition adds work of the keys of a partition that have no override.
+func (t *Tracker) AddPartition(id keyspace.Partition, work float64) {
+	t.pending[id] += work
+}
+
+// AddKey adds work of a key with an override. Work of another key is ignored.
+func (t *Tracker) AddKey(key string, work float64) {
+	if tracked, ok := t.keys[key]; ok {
+		tracked.pending += work
+	}
+}
+
+// SetHeavy replaces the heavy keys without an override that the homes found by their sketches.
+func (t *Tracker) SetHeavy(keys []KeyLoad) {
+	t.heavy = keys
+}
+
+// Advance takes the work since the last call into the averages.
+func (t *Tracker) Advance(interval time.Duration) {
+	if interval <= 0 {
+		return
+	}
+	t.weight.Add(interval.Seconds(), interval, t.halfLife)
+	for id, work := range t.pending {
+		average := EWMA{rate: t.rates[id]}
+		average.Add(work, interval, t.halfLife)
+		t.rates[id] = average.rate
+	}
+	clear(t.pending)
+	for _, tracked := range t.keys {
+		tracked.average.Add(tracked.pending, interval, t.halfLife)
+		tracked.pending = 0
+	}
+}
+
+// Load returns the load of a partition in work per second.
+func (t *Tracker) Load(id keyspace.Partition) float64 {
+	if t.weight.weight == 0 {
+		return 0
+	}
+	return t.rates[id] / t.weight.weight
+}
+
+// HotKeys returns the loads of the keys with an override and of the heavy keys, in the order of their names.
+func (t *Tracker) HotKeys() []KeyLoad {
+	hot := make([]KeyLoad, 0, len(t.keys)+len(t.heavy))
+	for key, tracked := range t.keys {
+		hot = append(hot, KeyLoad{Key: key, Load: tracked.average.Rate()})
+	}
+	for _, key := range t.heavy {
+		if _, ok := t.keys[key.Key]; !ok {
+			hot = append(hot, key)
+		}
+	}
+	slices.SortFunc(hot, func(a, b KeyLoad) int { return cmp.Compare(a.Key, b.Key) })
+	return hot
+}
+
+// Apply follows the overrides of a result.
+func (t *Tracker) Apply(overrides []Override) {
+	inForce := make(map[string]bool, len(overrides))
+	for i := range overrides {
+		inForce[overrides[i].Key] = true
+		t.start(overrides[i].Key)
+	}
+	for key, tracked := range t.keys {
+		if !inForce[key] {
+			t.rates[t.partition(key)] += tracked.average.Rate() * t.weight.weight
+			delete(t.keys, key)
+		}
+	}
+}
+
+// start begins to track a key whose override is new.
+func (t *Tracker) start(key string) {
+	if _, ok := t.keys[key]; ok {
+		return
+	}
+	load := 0.0
+	for _, heavy := range t.heavy {
+		if heavy.Key == key {
+			load = heavy.Load
+		}
+	}
+	t.keys[key] = &trackedKey{average: EWMA{rate: load, weight: 1}}
+	rate := &t.rates[t.partition(key)]
+	*rate = max(0, *rate-load*t.weight.weight)
+}
+
+func (t *Tracker) partition(key string) keyspace.Partition {
+	return keyspace.Of(key, len(t.rates))
+}
--- /dev/null
+++ b/internal/bench/build.go
@@ -0,0 +1,28 @@
+package bench
+
+import (
+	"fmt"
+	"runtime"
+	"runtime/debug"
+)
+
+// Build says what a figure was measured with.
+type Build struct {
+	Version   string
+	GoVersion string
+	System    string
+	Cores     int
+}
+
+// CurrentBuild returns the build of this process.
+func CurrentBuild() Build {
+	build := Build{Version: "(devel)", GoVersion: runtime.Version(), System: runtime.GOOS + "/" + runtime.GOARCH, Cores: runtime.NumCPU()}
+	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
+		build.Version = info.Main.Version
+	}
+	return build
+}
+
+func (b Build) String() string {
+	return fmt.Sprintf("%s, %s, %d cores", b.GoVersion, b.System, b.Cores)
+}
--- /dev/null
+++ b/internal/bench/fleet.go
@@ -0,0 +1,95 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/assign"
+)
+
+const (
+	// eventAt is the time of the join or the leave.
+	eventAt = 60 * time.Second
+	// drainTime is the time in which a leaving server gives up its work.
+	drainTime = 3 * time.Second
+	// replaceEvery is the time between two replacements in a rolling replacement, and replaceAfter the time from
+	// the start of a drain until the cold replacement is up.
+	replaceEvery = 60 * time.Second
+	replaceAfter = 10 * time.Second
+)
+
+func joinExperiment() Experiment {
+	return fleetExperiment("join", "A cold server joins 16 servers with uniform keys.", func(config *modelConfig) {
+		config.least = 1 / float64(config.servers+1)
+		config.event = func(now time.Duration, servers []assign.Server) []assign.Server {
+			if now == eventAt {
+				return append(servers, assign.Server{Name: serverName(len(servers)), State: assign.Up, ColdSince: now})
+			}
+			return servers
+		}
+	})
+}
+
+func leaveExperiment() Experiment {
+	return fleetExperiment("leave", "One of 16 servers drains and leaves, with uniform keys.", func(config *modelConfig) {
+		config.least = 1 / float64(config.servers)
+		config.event = func(now time.Duration, servers []assign.Server) []assign.Server {
+			if now == eventAt {
+				drain(&servers[0], now)
+			}
+			stopDrained(now, servers)
+			return servers
+		}
+	})
+}
+
+func rollingExperiment() Experiment {
+	return fleetExperiment("rolling", "Each of 16 servers is drained and replaced by a cold one, with uniform keys.", func(config *modelConfig) {
+		count := config.servers
+		config.seconds = (count + 1) * int(replaceEvery/time.Second)
+		// Each replacement moves the share of one server away from it and again to its replacement.
+		config.least = 1 + float64(count-1)/float64(count)
+		config.event = func(now time.Duration, servers []assign.Server) []assign.Server {
+			server := int(now/replaceEvery) - 1
+			if server < 0 || server >= count {
+				return servers
+			}
+			switch now % replaceEvery {
+			case 0:
+				drain(&servers[server], now)
+			case replaceAfter:
+				servers = append(servers, assign.Server{Name: serverName(len(servers)), State: assign.Up, ColdSince: now})
+			}
+			stopDrained(now, servers)
+			return servers
+		}
+	})
+}
+
+// fleetExperiment is an experiment with uniform keys and a change of the servers.
+func fleetExperiment(name, summary string, change func(*modelConfig)) Experiment {
+	return Experiment{
+		Name:      name,
+		Summary:   summary,
+		Baselines: []string{baselineRendezvous, baselineRing},
+		Run: func(seed uint64) (*Report, error) {
+			config := baseConfig(seed)
+			config.seconds = 180
+			config.target = imbalanceUniform
+			change(&config)
+			return runSystems(config), nil
+		},
+	}
+}
+
+func drain(server *assign.Server, now time.Duration) {
+	server.State = assign.Draining
+	server.DrainBy = now + drainTime
+}
+
+func stopDrained(now time.Duration, servers []assign.Server) {
+	for i := range servers {
+		if servers[i].State == assign.Draining && now > servers[i].DrainBy+time.Second {
+			servers[i].State = assign.Down
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/main.go
@@ -0,0 +1,110 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes of the program.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// options are the command-line options.
+type options struct {
+	Experiments []string `short:"e" long:"experiment" value-name:"NAME" description:"Run this experiment; may be given several times (default: all)"`
+	Seed        uint64   `short:"s" long:"seed" value-name:"NUMBER" default:"1" description:"Seed of all random choices"`
+	Out         string   `short:"o" long:"out" value-name:"DIRECTORY" description:"Write NAME.txt, NAME.csv and an SVG and a CSV file for each chart to this directory (default: print only)"`
+	List        bool     `short:"l" long:"list" description:"List the experiments and exit"`
+	Version     bool     `long:"version" description:"Print the version and exit"`
+}
+
+const longDescription = `Runs named experiments with a seed and prints a table for each. Units are in the tables. ` +
+	`Exit codes: 0 done, 1 an experiment failed, 2 wrong usage.`
+
+// Main runs the program and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	var opts options
+	parser := flags.NewNamedParser("plank-bench", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = longDescription
+	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
+		fmt.Fprintf(stderr, "plank-bench: %v\n", err)
+		return exitFailed
+	}
+	rest, err := parser.ParseArgs(args)
+	if flags.WroteHelp(err) {
+		fmt.Fprintln(stdout, err)
+		return exitDone
+	}
+	if err == nil && len(rest) > 0 {
+		err = fmt.Errorf("unexpected argument %q; name an experiment with --experiment", rest[0])
+	}
+	if err != nil {
+		fmt.Fprintf(stderr, "plank-bench: %v\n", err)
+		return exitUsage
+	}
+	return opts.run(stdout, stderr)
+}
+
+func (o *options) run(stdout, stderr io.Writer) int {
+	if o.Version {
+		build := CurrentBuild()
+		fmt.Fprintf(stdout, "plank-bench %s (%s)\n", build.Version, build)
+		return exitDone
+	}
+	if o.List {
+		for _, experiment := range Experiments() {
+			fmt.Fprintf(stdout, "%-10s %s\n", experiment.Name, experiment.Summary)
+		}
+		return exitDone
+	}
+	chosen, err := o.chosen()
+	if err != nil {
+		fmt.Fprintf(stderr, "plank-bench: %v\n", err)
+		return exitUsage
+	}
+	for _, experiment := range chosen {
+		if err := o.runOne(experiment, stdout); err != nil {
+			fmt.Fprintf(stderr, "plank-bench: experiment %q failed: %v\n", experiment.Name, err)
+			return exitFailed
+		}
+	}
+	return exitDone
+}
+
+// chosen returns the experiments to run.
+func (o *options) chosen() ([]Experiment, error) {
+	if len(o.Experiments) == 0 {
+		return Experiments(), nil
+	}
+	var chosen []Experiment
+	for _, name := range o.Experiments {
+		experiment, ok := Find(name)
+		if !ok {
+			return nil, fmt.Errorf("experiment %q does not exist; --list names all", name)
+		}
+		chosen = append(chosen, experiment)
+	}
+	return chosen, nil
+}
+
+func (o *options) runOne(experiment Experiment, stdout io.Writer) error {
+	report, err := experiment.Run(o.Seed)
+	if err != nil {
+		return err
+	}
+	report.Experiment = experiment.Name
+	report.Seed = o.Seed
+	if err := report.WriteTable(stdout, CurrentBuild()); err != nil {
+		return err
+	}
+	fmt.Fprintln(stdout)
+	if o.Out == "" {
+		return nil
+	}
+	return report.save(o.Out)
+}
--- /dev/null
+++ b/internal/bench/systems.go
@@ -0,0 +1,69 @@
+package bench
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/sapphireplank/sapphireplank/internal/config"
+)
+
+const (
+	baselineRendezvous = "rendezvous"
+	baselineRing       = "ring-bounded"
+)
+
+func serverName(i int) string {
+	return fmt.Sprintf("server-%04d", i)
+}
+
+// systemBuilder makes a system for a workload.
+type systemBuilder func(*workload) router
+
+// modelSystems returns the system under both preferences, then the baselines.
+func modelSystems(partitions int) []systemBuilder {
+	return []systemBuilder{
+		func(w *workload) router {
+			return newPlankRouter("plank, imbalance", config.PreferBalance, w, partitions)
+		},
+		func(w *workload) router {
+			return newPlankRouter("plank, unavailable time", config.PreferAvailability, w, partitions)
+		},
+		func(w *workload) router { return newRendezvousRouter(w) },
+		func(w *workload) router { return newRingRouter(w, partitions) },
+	}
+}
+
+// runSystems runs the model for each system and returns the report without its name.
+func runSystems(config modelConfig) *Report {
+	builders := modelSystems(config.partitions)
+	runs := make([]*modelRun, len(builders))
+	var group sync.WaitGroup
+	for i, build := range builders {
+		group.Go(func() { runs[i] = runModel(config, build) })
+	}
+	group.Wait()
+	report := &Report{Seed: config.seed, Settings: config.settings(), Notes: modelNotes()}
+	imbalance := &Chart{Name: "imbalance", XLabel: "model time in s", YLabel: "expected maximum over mean"}
+	for _, run := range runs {
+		report.Measurements = append(report.Measurements, run.measurement())
+		imbalance.Lines = append(imbalance.Lines, run.meter.line(run.router.name()))
+	}
+	report.Charts = []*Chart{imbalance}
+	return report
+}
+
+func modelNotes() []string {
+	return []string{
+		"Imbalance: per second of model time, over the servers that are up. Counted: requests that reached each owner. " +
+			"Expected: offered rate of the keys of each owner, without sampling noise.",
+		"A key whose rate exceeds the mean of the servers is named and taken out, the hottest first, then the next " +
+			"against the mean of the rest. The owner of such a key does not count for the mean; what else it owns " +
+			"counts for the maximum.",
+		"Churn: sum over all moves of the moved keys, as a share of all keys; a key may count several times.",
+		fmt.Sprintf("Unavailable time is modelled: %v ms for a move between live servers, %v ms after the loss of one.",
+			plannedGapMillis, lostGapMillis),
+		"Latency is modelled: first free slot in order of arrival, exponential execution, requests that would wait " +
+			"longer than 1 s refused.",
+		"Processor time of a round is measured, with four systems running at the same time.",
+	}
+}
