gateway: choose servers and retry by the balance and retry packages

Cause: the gateway had its own simple choice and retry rules. Change: balancer per service with zone preference, spill-over, reported load and ejection; retry decision table with its budget; requests with an identity go to the server that their identity maps to; waits for a home of a lost gateway need no budget.

--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -4,32 +4,41 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-)
-
-const (
-	// retriesPerSecond is the part of the retry budget that does not depend on the load.
-	retriesPerSecond = 3
-	retryBurst       = 30
+	"github.com/sapphireplank/sapphireplank/internal/retry"
 )
 
 // budgets holds the retry budget of each service.
 type budgets struct {
+	start time.Time
+
 	// mu protects the fields below.
 	mu        sync.Mutex
-	byService map[string]*rate.Limiter
+	byService map[string]*retry.Budget
+}
+
+func newBudgets() *budgets {
+	return &budgets{start: time.Now(), byService: make(map[string]*retry.Budget)}
 }
 
-func newBudgets() *budgets { return &budgets{byService: make(map[string]*rate.Limiter)} }
+// sent counts a request that is sent for the first time.
+func (b *budgets) sent(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget(service).Request()
+}
 
 // spend takes one retry from the budget, if there is one.
-func (b *budgets) spend(service string, now time.Time) bool {
+func (b *budgets) spend(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l, ok := b.byService[service]
+	return b.budget(service).Take(time.Since(b.start))
+}
+
+func (b *budgets) budget(service string) *retry.Budget {
+	budget, ok := b.byService[service]
 	if !ok {
-		l = rate.NewLimiter(retriesPerSecond, retryBurst)
-		b.byService[service] = l
+		budget = retry.NewBudget()
+		b.byService[service] = budget
 	}
-	return l.AllowN(now, 1)
+	return budget
 }
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -28,6 +28,8 @@
 	return f(ctx, r)
 }
 
+func (dispatchFunc) LoadPercent() uint32 { return 0 }
+
 func (h fakeHomes) Dispatcher(server string) (Dispatcher, bool) {
 	f, ok := h[server]
 	return f, ok
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -18,7 +18,7 @@
 	stream, err := g.options.Peers.Open(ctx, v.hosts[t.host].PeerAddress)
 	if err != nil {
 		g.lostHost(c, t)
-		return nil, refusal(outcome.KindConnect, "the gateway "+t.host+" cannot be reached")
+		return nil, refusal(outcome.KindNoHome, "the gateway "+t.host+" cannot be reached")
 	}
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	head, reader, problem := exchange(stream, c, t)
@@ -27,6 +27,7 @@
 		_ = stream.Close()
 		return nil, g.hopProblem(ctx, c, t, problem)
 	}
+	c.load = head.LoadPercent
 	if head.Home != "" {
 		g.learn(c, head.Home)
 	}
@@ -91,7 +92,7 @@
 	}
 	if p.Kind == outcome.KindConnectionLost {
 		g.lostHost(c, t)
-	} else if isTransient(p.Kind) {
+	} else {
 		g.forgetHint(c)
 	}
 	return p
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,8 @@
 // Dispatcher executes requests on one backend server. Its errors are *outcome.Problem.
 type Dispatcher interface {
 	Do(ctx context.Context, r *backend.Request) (*backend.Response, error)
+	// LoadPercent returns the requests that are queued or in execution, over the slots, in percent.
+	LoadPercent() uint32
 }
 
 // Homes finds the dispatchers of the backend servers whose home this gateway is.
@@ -43,30 +45,33 @@
 
 // Gateway serves callers and other gateways.
 type Gateway struct {
-	options  Options
-	view     atomic.Pointer[View]
-	bodies   *semaphore.Weighted
-	held     atomic.Int64
-	active   atomic.Int64
-	draining atomic.Bool
-	chooser  *chooser
-	budgets  *budgets
-	suspects *suspects
+	options   Options
+	view      atomic.Pointer[View]
+	bodies    *semaphore.Weighted
+	held      atomic.Int64
+	active    atomic.Int64
+	draining  atomic.Bool
+	balancers *balancers
+	budgets   *budgets
+	suspects  *suspects
 }
 
 // New returns a gateway that refuses requests until it has a view.
 func New(options Options) *Gateway {
 	return &Gateway{
-		options:  options,
-		bodies:   semaphore.NewWeighted(bodyMemoryBytes),
-		chooser:  newChooser(),
-		budgets:  newBudgets(),
-		suspects: newSuspects(),
+		options:   options,
+		bodies:    semaphore.NewWeighted(bodyMemoryBytes),
+		balancers: newBalancers(),
+		budgets:   newBudgets(),
+		suspects:  newSuspects(),
 	}
 }
 
 // SetView publishes a new view to the traffic.
-func (g *Gateway) SetView(v *View) { g.view.Store(v) }
+func (g *Gateway) SetView(v *View) {
+	g.balancers.update(v)
+	g.view.Store(v)
+}
 
 // View returns the current view, or nil.
 func (g *Gateway) View() *View { return g.view.Load() }
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -7,10 +7,12 @@
 
 	"github.com/sapphireplank/sapphireplank/internal/backend"
 	"github.com/sapphireplank/sapphireplank/internal/outcome"
+	"github.com/sapphireplank/sapphireplank/internal/retry"
 )
 
 // handle routes the call until it is answered, refused for good, or out of time.
 func (g *Gateway) handle(ctx context.Context, c *call) (*backend.Response, *outcome.Problem) {
+	g.budgets.sent(c.request.Service)
 	var hold holdTimer
 	mayHaveRun := false
 	for {
@@ -25,7 +27,7 @@
 			return answer, nil
 		}
 		mayHaveRun = mayHaveRun || problem.Outcome != outcome.NotRun
-		if ctx.Err() != nil || !g.mayRepeat(c, problem) || !g.hold(ctx, &hold, problem) {
+		if ctx.Err() != nil || !g.mayRepeat(ctx, c, problem) || !g.hold(ctx, &hold, problem) {
 			return nil, finalProblem(problem, mayHaveRun)
 		}
 		g.options.Observer.Retried(c.request.Service)
@@ -47,9 +49,19 @@
 func (g *Gateway) attempt(ctx context.Context, v *View, c *call) (*backend.Response, *outcome.Problem) {
 	t, problem := g.target(v, c)
 	if problem != nil {
+		g.finish(c, 0, problem)
 		return nil, problem
 	}
-	defer g.chooser.started(c.request.Service, t)()
+	start := time.Now()
+	answer, problem := g.send(ctx, v, c, t)
+	g.finish(c, time.Since(start), problem)
+	if problem != nil && !c.route.Keyed {
+		c.avoid = append(c.avoid, t.server)
+	}
+	return answer, problem
+}
+
+func (g *Gateway) send(ctx context.Context, v *View, c *call, t target) (*backend.Response, *outcome.Problem) {
 	if t.host == v.Self {
 		return g.local(ctx, c, t.server)
 	}
@@ -60,26 +72,43 @@
 	return g.forward(ctx, v, c, t)
 }
 
-// mayRepeat reports whether the call may be sent again after the problem. A request that may have run is
-// sent again only if it is idempotent and the retry budget allows it.
-func (g *Gateway) mayRepeat(c *call, p *outcome.Problem) bool {
-	switch p.Outcome {
-	case outcome.NotRun:
-		return isTransient(p.Kind)
-	case outcome.Unknown:
-		return c.request.Idempotent && c.hops == 0 && isTransient(p.Kind) && g.budgets.spend(c.request.Service, time.Now())
-	default:
-		return false
+// finish tells the balancer how the attempt ended.
+func (g *Gateway) finish(c *call, took time.Duration, p *outcome.Problem) {
+	if c.picked == "" {
+		return
 	}
+	if p == nil {
+		g.balancers.reported(c.request.Service, c.picked, c.load)
+	}
+	g.balancers.done(c.request.Service, c.picked, took, p)
+	c.picked = ""
 }
 
-// isTransient reports whether another attempt can have another result within the deadline of a request.
-func isTransient(k outcome.Kind) bool {
-	switch k {
-	case outcome.KindNoOwner, outcome.KindNoHome, outcome.KindNotHome, outcome.KindConnect, outcome.KindHopLimit,
-		outcome.KindStaleGrant, outcome.KindDraining, outcome.KindConnectionLost, outcome.KindNoServer, outcome.KindShed:
+// mayRepeat reports whether the call may be sent again after the problem.
+func (g *Gateway) mayRepeat(ctx context.Context, c *call, p *outcome.Problem) bool {
+	c.attempts++
+	deadline, _ := ctx.Deadline()
+	decision := retry.Decide(retry.Failure{
+		Problem:    p,
+		Idempotent: c.request.Idempotent,
+		Rewindable: true,
+		Attempts:   c.sent(p),
+		Remaining:  time.Until(deadline),
+	})
+	switch decision {
+	case retry.RouteAgain:
 		return true
+	case retry.SendAgain:
+		return g.budgets.spend(c.request.Service)
 	default:
 		return false
 	}
 }
+
+// sent counts the attempts that reached a home. A call that waits for an owner or a home was not sent.
+func (c *call) sent(p *outcome.Problem) int {
+	if p.Outcome == outcome.NotRun {
+		c.attempts--
+	}
+	return c.attempts
+}
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -122,6 +122,7 @@
 		Headers:       toWireHeader(answer.Header),
 		Home:          cmp.Or(c.home, g.options.Self),
 		ContentLength: answer.ContentLength,
+		LoadPercent:   c.load,
 	}
 	buffer, err := wire.AppendMessage(nil, wire.FrameResponseHead, head)
 	if err != nil {
--- a/internal/gateway/local.go
+++ b/internal/gateway/local.go
@@ -26,6 +26,7 @@
 	if err != nil {
 		return nil, asProblem(err)
 	}
+	c.load = dispatcher.LoadPercent()
 	return buffered(answer)
 }
 
--- a/internal/gateway/parse.go
+++ b/internal/gateway/parse.go
@@ -23,6 +23,14 @@
 	hops   uint32
 	// home is the gateway that answered, if it was not this one.
 	home string
+	// load is the load that the home reported with the answer, in percent of its slots.
+	load uint32
+	// picked is the backend server that the balancer counts the current attempt on, or "".
+	picked string
+	// avoid holds backend servers that failed this call before.
+	avoid []string
+	// attempts counts how often the call was sent.
+	attempts int
 }
 
 func badRequest(kind outcome.Kind, detail string) *outcome.Problem {
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sapphireplank/sapphireplank/internal/cell"
@@ -67,31 +68,40 @@
 	return target{}, refusal(outcome.KindNoHome, "no gateway in the zone of the key can be reached")
 }
 
-// sharedTarget chooses a backend server of a service that is not divided by key.
+// sharedTarget chooses a backend server of a service that is not divided by key, unless the sender did.
 func (g *Gateway) sharedTarget(v *View, c *call) (target, *outcome.Problem) {
 	if c.server != "" {
 		return homeOf(v.Snapshot, c.server)
 	}
-	candidates := usable(v.Snapshot, c.route.local)
-	if remote, ok := g.chooser.spill(c, candidates); ok && c.hops == 0 {
-		if t, problem := g.remoteTarget(v, remote, ""); problem == nil {
-			return t, nil
-		}
+	server, problem := g.chooseServer(v, c)
+	if problem != nil {
+		return target{}, problem
 	}
-	if len(candidates) == 0 {
-		return target{}, refusal(outcome.KindNoServer, "no backend server of the service is up in this zone")
+	if owning := c.route.cells[server]; owning != v.Cell {
+		t, problem := g.remoteTarget(v, owning, "")
+		t.server = server
+		return t, problem
 	}
-	return g.chooser.choose(c.request.Service, candidates), nil
+	return homeOf(v.Snapshot, server)
 }
 
-func usable(s *cell.Snapshot, servers []string) []target {
-	targets := make([]target, 0, len(servers))
-	for _, name := range servers {
-		if server := s.Servers[name]; server.Home != "" && server.State == cell.ServerUp {
-			targets = append(targets, target{host: server.Home, server: name})
+// chooseServer picks by load. A request that must run once and carries an identity goes to the server that its
+// identity maps to, because only that server's home can recognize a repeat.
+// Only a first attempt may go elsewhere if that server cannot take it.
+func (g *Gateway) chooseServer(v *View, c *call) (string, *outcome.Problem) {
+	if !c.request.Idempotent && c.request.Identity != "" {
+		server := c.route.serverOf(c.request.Subscriber, c.request.Identity)
+		down := c.route.cells[server] == v.Cell && !isUsable(v.Snapshot, server)
+		if !c.request.FirstAttempt || !down && !slices.Contains(c.avoid, server) {
+			return server, nil
 		}
 	}
-	return targets
+	server, ok := g.balancers.pick(c.request.Service, c.avoid)
+	if !ok {
+		return "", refusal(outcome.KindNoServer, "no backend server of the service can be reached")
+	}
+	c.picked = server
+	return server, nil
 }
 
 func refusal(kind outcome.Kind, detail string) *outcome.Problem {
--- a/internal/gateway/serves.go
+++ b/internal/gateway/serves.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sapphireplank/sapphireplank/internal/outcome"
@@ -17,13 +18,15 @@
 		if route.Keyed && !v.servesKeyed(name, route) {
 			return false
 		}
-		if !route.Keyed && len(route.local) > 0 && len(usable(v.Snapshot, route.local)) == 0 {
+		if !route.Keyed && len(route.local) > 0 && !slices.ContainsFunc(route.local, v.isUsable) {
 			return false
 		}
 	}
 	return true
 }
 
+func (v *View) isUsable(server string) bool { return isUsable(v.Snapshot, server) }
+
 func (v *View) servesKeyed(name string, route *serviceRoute) bool {
 	service := v.Snapshot.Services[name]
 	for partition, index := range route.placement.ByPartition {
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -1,8 +1,7 @@
 package gateway
 
 import (
-	"slices"
-
+	"github.com/sapphireplank/sapphireplank/internal/balance"
 	"github.com/sapphireplank/sapphireplank/internal/cell"
 	"github.com/sapphireplank/sapphireplank/internal/config"
 	"github.com/sapphireplank/sapphireplank/internal/keyspace"
@@ -24,13 +23,11 @@
 type serviceRoute struct {
 	*config.Service
 	placement *config.Placement
-	// local holds the servers in the gateway's own cell, by name.
+	// local holds the servers in the gateway's own cell.
 	local []string
-	// remote holds the other cells with servers of the service.
-	remote []string
-	// weight is the number of servers in each cell.
-	weight map[string]int
-	hints  *hints
+	// cells holds the cell of each server.
+	cells map[string]string
+	hints *hints
 }
 
 // NewView computes the routing of a configuration. It is called once per revision; use WithSnapshot for
@@ -62,14 +59,14 @@
 	return &next
 }
 
+func (v *View) zone() string { return v.hosts[v.Self].Zone }
+
 func newServiceRoute(c *config.Config, s *config.Service, own string) *serviceRoute {
-	route := &serviceRoute{Service: s, weight: make(map[string]int)}
+	route := &serviceRoute{Service: s, cells: make(map[string]string, len(s.Servers))}
 	for _, server := range s.Servers {
-		route.weight[server.Cell]++
+		route.cells[server.Name] = server.Cell
 		if server.Cell == own {
 			route.local = append(route.local, server.Name)
-		} else if !slices.Contains(route.remote, server.Cell) {
-			route.remote = append(route.remote, server.Cell)
 		}
 	}
 	if s.Keyed {
@@ -79,6 +76,15 @@
 	return route
 }
 
+// serverOf returns the server that a request identity maps to.
+func (r *serviceRoute) serverOf(subscriber, identity string) string {
+	names := make([]string, 0, len(r.Servers))
+	for _, server := range r.Servers {
+		names = append(names, server.Name)
+	}
+	return balance.ByIdentity(subscriber, identity, names)
+}
+
 // partition returns the partition of key and the cell that owns it.
 func (r *serviceRoute) partition(key string) (keyspace.Partition, string) {
 	p := keyspace.Of(key, r.Partitions)
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -20,6 +20,9 @@
 	last   time.Duration
 }
 
+// NewBudget returns a budget with the retries of one second, so that a gateway that has just started can retry.
+func NewBudget() *Budget { return &Budget{tokens: BudgetPerSecond} }
+
 // Request adds the share of one request that is sent for the first time.
 func (b *Budget) Request() { b.add(BudgetShare) }
 
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -53,6 +53,8 @@
 	outcome.KindNotHome:        RouteAgain,
 	outcome.KindNoHome:         RouteAgain,
 	outcome.KindNoOwner:        RouteAgain,
+	outcome.KindNoServer:       RouteAgain,
+	outcome.KindHopLimit:       RouteAgain,
 	outcome.KindStaleGrant:     SendAgain,
 	outcome.KindShed:           SendAgain,
 	outcome.KindDraining:       SendAgain,
