gatewaycmd: add plank-gateway; node: serve operators

Cause: gateways ran only inside plank-dev and answered no operator. Change: program with INI settings; health, readiness, profiles and the administration API on the operators' port.

--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -59,6 +59,17 @@
 	return &next
 }
 
+// PartitionOf returns the partition of a key and the cell that owns it, or false for a service that is not divided
+// by key.
+func (v *View) PartitionOf(service, key string) (keyspace.Partition, string, bool) {
+	route, ok := v.services[service]
+	if !ok || !route.Keyed {
+		return 0, "", false
+	}
+	partition, owning := route.partition(key)
+	return partition, owning, true
+}
+
 func (v *View) zone() string { return v.hosts[v.Self].Zone }
 
 func newServiceRoute(c *config.Config, s *config.Service, own string) *serviceRoute {
--- /dev/null
+++ b/internal/gatewaycmd/program.go
@@ -0,0 +1,184 @@
+package gatewaycmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/sapphireplank/sapphireplank/internal/admin"
+	"github.com/sapphireplank/sapphireplank/internal/gateway"
+	"github.com/sapphireplank/sapphireplank/internal/logging"
+	"github.com/sapphireplank/sapphireplank/internal/node"
+	"github.com/sapphireplank/sapphireplank/internal/peer"
+	"github.com/sapphireplank/sapphireplank/internal/store"
+	"github.com/sapphireplank/sapphireplank/internal/timeline"
+	"github.com/sapphireplank/sapphireplank/internal/version"
+)
+
+const program = "plank-gateway"
+
+// Exit codes.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// eventFileMode lets the owner write and others read.
+const eventFileMode = 0o644
+
+// commandLine are the options that are not settings.
+type commandLine struct {
+	Settings string `long:"settings" description:"INI file with the settings below; the command line overrides it (default: none)"`
+	Version  bool   `long:"version" description:"print the version and exit"`
+}
+
+// Main runs the program and returns its exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	settings, done, err := parse(args, out)
+	if done {
+		return exitDone
+	}
+	if err != nil {
+		fmt.Fprintf(errOut, "%s: %v\n", program, err)
+		return exitUsage
+	}
+	if err := run(settings, out, errOut); err != nil {
+		fmt.Fprintf(errOut, "%s: %v\n", program, err)
+		return exitFailed
+	}
+	return exitDone
+}
+
+// parse reads the settings file first and then the command line. done is true if there is nothing to run.
+func parse(args []string, out io.Writer) (settings *Settings, done bool, err error) {
+	var line commandLine
+	settings = &Settings{}
+	parser := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
+	for _, group := range []struct {
+		name string
+		data any
+	}{{"Program", &line}, {"gateway", settings}} {
+		if _, err := parser.AddGroup(group.name, "", group.data); err != nil {
+			return nil, false, err
+		}
+	}
+	if _, err := parser.ParseArgs(args); err != nil {
+		var flagsErr *flags.Error
+		if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
+			fmt.Fprintln(out, err)
+			return nil, true, nil
+		}
+		return nil, false, err
+	}
+	if line.Version {
+		fmt.Fprintln(out, version.Line(program))
+		return nil, true, nil
+	}
+	if line.Settings != "" {
+		if err := readFile(parser, line.Settings, args); err != nil {
+			return nil, false, err
+		}
+	}
+	return settings, false, settings.Validate()
+}
+
+// readFile reads the settings file and then the command line again, which overrides it.
+func readFile(parser *flags.Parser, name string, args []string) error {
+	if err := flags.NewIniParser(parser).ParseFile(name); err != nil {
+		return errors.Wrap(err, "settings file")
+	}
+	_, err := parser.ParseArgs(args)
+	return err
+}
+
+func run(s *Settings, out, errOut io.Writer) error {
+	options, closeEvents, err := nodeOptions(s, out, errOut)
+	if err != nil {
+		return err
+	}
+	defer closeEvents()
+	signals, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	n, err := node.Start(options)
+	if err != nil {
+		return err
+	}
+	<-signals.Done()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.StopSeconds)*time.Second)
+	defer cancel()
+	return n.Shutdown(ctx)
+}
+
+func nodeOptions(s *Settings, out, errOut io.Writer) (node.Options, func(), error) {
+	levels, err := logging.ParseLevels(s.LogLevels)
+	if err != nil {
+		return node.Options{}, nil, err
+	}
+	tokens, err := readTokens(s.TokenFile)
+	if err != nil {
+		return node.Options{}, nil, err
+	}
+	events, closeFile, err := openEvents(s.EventFile, out)
+	if err != nil {
+		return node.Options{}, nil, err
+	}
+	log := timeline.NewLog(timeline.LogOptions{Host: s.Host, Output: events})
+	seeds, err := s.seeds()
+	if err != nil {
+		return node.Options{}, nil, err
+	}
+	closeEvents := func() {
+		// The process ends; events that cannot be written any more are lost with it.
+		_ = log.Close()
+		closeFile()
+	}
+	return node.Options{
+		Host:          s.Host,
+		Team:          s.Team,
+		PeerAddress:   s.PeerAddress,
+		CallerAddress: s.CallerAddress,
+		AdminAddress:  s.AdminAddress,
+		Seeds:         seeds,
+		Store:         store.NewClient(s.Store, &http.Client{}),
+		Dial:          peer.DialTCP,
+		Events:        log,
+		Logs:          logging.New(errOut, levels),
+		Observer:      gateway.NoObserver{},
+		Tokens:        tokens,
+	}, closeEvents, nil
+}
+
+func readTokens(name string) (*admin.Tokens, error) {
+	if name == "" {
+		return nil, nil
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "token-file")
+	}
+	defer file.Close()
+	return admin.ReadTokens(file)
+}
+
+func openEvents(name string, out io.Writer) (io.Writer, func(), error) {
+	switch name {
+	case "":
+		return nil, func() {}, nil
+	case "-":
+		return out, func() {}, nil
+	}
+	file, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, eventFileMode)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "event-file")
+	}
+	return file, func() { _ = file.Close() }, nil
+}
--- a/internal/node/constants.go
+++ b/internal/node/constants.go
@@ -12,6 +12,8 @@
 	// drainNotice is the time between the failing readiness check and the closing of listeners, in which the
 	// balancer notices.
 	drainNotice = time.Second
+	// answerTimeout bounds the question whether a gateway answers.
+	answerTimeout = 300 * time.Millisecond
 	// leftPoll is the interval at which a planned stop looks for its end.
 	leftPoll = 20 * time.Millisecond
 )
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -11,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/sapphireplank/sapphireplank/internal/admin"
 	"github.com/sapphireplank/sapphireplank/internal/control"
 	"github.com/sapphireplank/sapphireplank/internal/gateway"
 	"github.com/sapphireplank/sapphireplank/internal/logging"
@@ -35,6 +35,10 @@
 	Logs   *logging.Logs
 	// Observer counts requests.
 	Observer gateway.Observer
+	// Tokens are the bearer tokens of operators. Default: none, so that every call is refused.
+	Tokens *admin.Tokens
+	// Metrics serves /metrics. Default: none.
+	Metrics http.Handler
 }
 
 // Node is one running gateway process.
@@ -48,6 +52,7 @@
 	loop      *control.Loop
 	peers     *peer.Server
 	callers   *http.Server
+	admin     *http.Server
 	listeners []net.Listener
 	cancel    context.CancelFunc
 }
@@ -122,14 +127,25 @@
 	if err != nil {
 		return err
 	}
+	operators, err := n.open(n.options.AdminAddress)
+	if err != nil {
+		return err
+	}
 	n.peers = peer.NewServer(peerHandler{n.gateway, n.loop})
 	n.callers = &http.Server{
 		Handler:           n.gateway,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    gateway.MaxHeaderBytes,
-		ErrorLog:          log.New(n.log.WriterLevel(logrus.DebugLevel), "", 0),
+		ErrorLog:          httpLog(n.log),
+	}
+	n.admin = &http.Server{
+		Handler:           n.operators(),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          httpLog(n.log),
 	}
+	go func() { _ = n.admin.Serve(operators) }()
 	go func() { _ = n.peers.Serve(peers) }()
 	go func() { _ = n.callers.Serve(callers) }()
 	return nil
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -15,6 +15,7 @@
 	n.cancel()
 	n.closeListeners()
 	_ = n.callers.Close()
+	_ = n.admin.Close()
 	n.pool.Close()
 	n.peers.Close()
 	<-n.loop.Done()
