--- a/internal/accept/accepter.go
+++ b/internal/accept/accepter.go
@@ -153,7 +153,7 @@
 	if current == nil {
 		return nil, nil
 	}
-	record, ok := current.Accept(e.id())
+	record, ok := current.AcceptRecord(e.id())
 	if !ok {
 		return nil, nil
 	}
--- a/internal/admin/config_handlers.go
+++ b/internal/admin/config_handlers.go
@@ -77,7 +77,7 @@
 // acceptedAnswer records the accept and sends the configuration.
 func (s *Server) acceptedAnswer(c *call, status int, id string, accepted *config.Config) error {
 	change := "accepted before"
-	if record, ok := accepted.Accept(id); ok {
+	if record, ok := accepted.AcceptRecord(id); ok {
 		change = "revision " + strconv.FormatUint(record.Revision, 10) + ": " + record.Change
 	}
 	s.audit(eventAccepted, c, change)
--- a/internal/config/history.go
+++ b/internal/config/history.go
@@ -29,8 +29,8 @@
 	Digest string `json:"digest"`
 }
 
-// Accept returns the record of the accept with the given id.
-func (c *Config) Accept(id string) (Accepted, bool) {
+// AcceptRecord returns the record of the accept with the given id.
+func (c *Config) AcceptRecord(id string) (Accepted, bool) {
 	for _, accepted := range c.History {
 		if accepted.ID == id {
 			return accepted, true
--- /dev/null
+++ b/internal/ctl/announce.go
@@ -0,0 +1,36 @@
+package ctl
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/admin"
+)
+
+type announceCommand struct {
+	session *session
+	At      string        `long:"at" value-name:"TIME" required:"yes" description:"Start: now, a duration from now such as +10m, or a time such as 2026-01-31T14:00:00Z"`
+	For     time.Duration `long:"for" value-name:"DURATION" required:"yes" description:"Length with a unit, such as 30m or 2h; whole seconds, at most 168h"`
+	ID      string        `long:"id" value-name:"ID" description:"Id of an announcement that you repeat. Default: a new one"`
+	Args    stopTarget    `positional-args:"yes"`
+}
+
+// Execute announces the stop.
+func (c *announceCommand) Execute(args []string) error {
+	if err := noRest(args); err != nil {
+		return err
+	}
+	at, err := c.session.parseTime(c.At)
+	if err != nil {
+		return err
+	}
+	if c.For < time.Second || c.For%time.Second != 0 {
+		return usage("--for %s is not a number of whole seconds", c.For)
+	}
+	request := admin.StopRequest{Target: c.Args.Host, At: at, ForSeconds: int64(c.For / time.Second)}
+	m := message{method: http.MethodPost, path: "/stops", body: request}
+	line := fmt.Sprintf("announced: %s stops at %s for %s; follow it with plankctl stop list %s",
+		c.Args.Host, at.Format(time.RFC3339), c.For, c.Args.Host)
+	return c.session.changeStops(m, c.ID, line)
+}
--- /dev/null
+++ b/internal/ctl/check.go
@@ -0,0 +1,42 @@
+package ctl
+
+import (
+	"github.com/jessevdk/go-flags"
+
+	"github.com/sapphireplank/sapphireplank/internal/config"
+	"github.com/sapphireplank/sapphireplank/internal/questionnaire"
+)
+
+type checkCommand struct {
+	session *session
+	Args    struct {
+		File flags.Filename `positional-arg-name:"FILE" description:"Questionnaire"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute checks the questionnaire.
+func (c *checkCommand) Execute(args []string) error {
+	if err := noRest(args); err != nil {
+		return err
+	}
+	text, err := readFile(string(c.Args.File))
+	if err != nil {
+		return err
+	}
+	result, err := questionnaire.FromText(text)
+	if err != nil {
+		return err
+	}
+	if c.session.options.JSON {
+		return c.session.printJSON(struct {
+			Faults []config.Fault `json:"faults"`
+		}{[]config.Fault{}})
+	}
+	servers := 0
+	for _, service := range result.Config.Services {
+		servers += len(service.Servers)
+	}
+	c.session.printf("%s has no faults: %d zones, %d hosts, %d services, %d backend servers\n", c.Args.File,
+		len(result.Config.Zones), len(result.Config.Hosts), len(result.Config.Services), servers)
+	return nil
+}
--- a/internal/ctl/stop_commands.go
+++ b/internal/ctl/stop_list.go
@@ -9,97 +9,11 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/sapphireplank/sapphireplank/internal/admin"
-	"github.com/sapphireplank/sapphireplank/internal/config"
 )
 
 // followInterval is the pause between two questions for the progress of a stop.
 const followInterval = time.Second
 
-// stopTarget is the argument of the stop commands.
-type stopTarget struct {
-	Host string `positional-arg-name:"HOST" description:"Host or backend server" required:"yes"`
-}
-
-type announceCommand struct {
-	session *session
-	At      string        `long:"at" value-name:"TIME" required:"yes" description:"Start: now, a duration from now such as +10m, or a time such as 2026-01-31T14:00:00Z"`
-	For     time.Duration `long:"for" value-name:"DURATION" required:"yes" description:"Length with a unit, such as 30m or 2h; whole seconds, at most 168h"`
-	ID      string        `long:"id" value-name:"ID" description:"Id of an announcement that you repeat. Default: a new one"`
-	Args    stopTarget    `positional-args:"yes"`
-}
-
-// Execute announces the stop.
-func (c *announceCommand) Execute(args []string) error {
-	if err := noRest(args); err != nil {
-		return err
-	}
-	at, err := c.session.parseTime(c.At)
-	if err != nil {
-		return err
-	}
-	if c.For < time.Second || c.For%time.Second != 0 {
-		return usage("--for %s is not a number of whole seconds", c.For)
-	}
-	request := admin.StopRequest{Target: c.Args.Host, At: at, ForSeconds: int64(c.For / time.Second)}
-	m := message{method: http.MethodPost, path: "/stops", body: request}
-	line := fmt.Sprintf("announced: %s stops at %s for %s; follow it with plankctl stop list %s",
-		c.Args.Host, at.Format(time.RFC3339), c.For, c.Args.Host)
-	return c.session.changeStops(m, c.ID, line)
-}
-
-type cancelCommand struct {
-	session *session
-	ID      string     `long:"id" value-name:"ID" description:"Id of a cancellation that you repeat. Default: a new one"`
-	Args    stopTarget `positional-args:"yes"`
-}
-
-// Execute cancels the stop.
-func (c *cancelCommand) Execute(args []string) error {
-	if err := noRest(args); err != nil {
-		return err
-	}
-	m := message{method: http.MethodDelete, path: "/stops/" + segment(c.Args.Host)}
-	return c.session.changeStops(m, c.ID, "canceled: "+c.Args.Host+" does not stop")
-}
-
-// changeStops sends an announcement or a cancellation.
-func (s *session) changeStops(m message, id, line string) error {
-	gateway, err := s.client("")
-	if err != nil {
-		return err
-	}
-	if id == "" {
-		id = s.program.NewID()
-	}
-	accepted := &config.Config{}
-	if err := gateway.change(m, id, accepted); err != nil {
-		return err
-	}
-	if s.options.JSON {
-		return s.printJSON(accepted.Stops)
-	}
-	s.printf("%s\n", line)
-	return nil
-}
-
-// parseTime reads now, a duration from now, or a time with its zone.
-func (s *session) parseTime(text string) (time.Time, error) {
-	now := s.program.Now().UTC().Truncate(time.Second)
-	if text == "now" {
-		return now, nil
-	}
-	if text != "" && text[0] == '+' {
-		if d, err := time.ParseDuration(text[1:]); err == nil {
-			return now.Add(d), nil
-		}
-	}
-	at, err := time.Parse(time.RFC3339, text)
-	if err != nil {
-		return at, usage("--at %q is not a time; use now, +10m or 2026-01-31T14:00:00Z", text)
-	}
-	return at.UTC(), nil
-}
-
 type listCommand struct {
 	session *session
 	Once    bool `long:"once" description:"Show the progress of HOST once and do not wait"`
