--- a/internal/accept/replacement.go
+++ b/internal/accept/replacement.go
@@ -28,9 +28,8 @@
 		return next, record, nil
 	}
 	next.Stops = remainingStops(current.Stops, next)
-	difference := current.Diff(next)
 	if record.Change == "" {
-		record.Change = difference.Summary()
+		record.Change = config.Difference{Changes: current.Changes(next)}.Summary()
 	}
 	if current.Revision != r.request.Seen {
 		return nil, record, &Conflict{
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -72,6 +72,10 @@
 		{func(c *Config) { c.Stops = []Stop{{Target: "x", At: time.Unix(1, 0), ForSeconds: 1}} }, `[stop x] target = "x": is neither a host nor`},
 		{func(c *Config) { c.Stops = []Stop{{Target: "h-a", ForSeconds: 1}} }, `[stop h-a] at: has no time`},
 		{func(c *Config) { c.Stops = []Stop{{Target: "h-a", At: time.Unix(1, 0)}} }, `[stop h-a] for_seconds = "0": is out of range`},
+		{func(c *Config) {
+			c.Hosts = append(c.Hosts, Host{Name: "n", Zone: "a", Cell: "a-c01", PeerAddress: "10.1.0.1:1", CallerAddress: "10.1.0.1:2", AdminAddress: "10.1.0.1:3"})
+			c.Stops = []Stop{{Target: "h-a", At: time.Unix(10, 0), ForSeconds: 10}, {Target: "n", At: time.Unix(19, 0), ForSeconds: 9}}
+		}, `[stop n] at = "1970-01-01`},
 		{func(c *Config) {
 			for i := range MaxCellHosts {
 				c.Hosts = append(c.Hosts, Host{Name: fmt.Sprintf("n%d", i), Zone: "a", Cell: "a-c01", PeerAddress: fmt.Sprintf("10.1.0.%d:1", i),
--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -64,8 +64,14 @@
 	return cut(strings.Join(lines, "; "), MaxChangeBytes)
 }
 
-// Diff returns what next changes compared with c. Revision, id and history are not compared.
+// Diff returns what next changes compared with c. Revision, id and history are not compared. It computes the
+// placements whose weights change.
 func (c *Config) Diff(next *Config) Difference {
+	return Difference{Changes: c.Changes(next), Moves: c.moves(next)}
+}
+
+// Changes returns the changes of Diff without the moves.
+func (c *Config) Changes(next *Config) []Change {
 	d := &differ{}
 	d.setting("team", "name", c.Team, next.Team)
 	d.setting("preference", "favour", string(c.Preference), string(next.Preference))
@@ -78,7 +84,7 @@
 		}
 	}
 	elements(d, "stop", c.Stops, next.Stops, func(s Stop) string { return s.Target })
-	return Difference{Changes: d.changes, Moves: c.moves(next)}
+	return d.changes
 }
 
 type differ struct {
--- a/internal/config/moves.go
+++ b/internal/config/moves.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"slices"
 	"strconv"
 
 	"github.com/sapphireplank/sapphireplank/internal/keyspace"
@@ -32,6 +33,9 @@
 		if !ok || !before.Keyed || !after.Keyed || before.Partitions != after.Partitions {
 			continue
 		}
+		if c.sameWeights(before, next, after) {
+			continue
+		}
 		if moves := comparePlacements(after.Name, c.Place(before), next.Place(after)); moves.Moved > 0 {
 			all = append(all, moves)
 		}
@@ -39,6 +43,13 @@
 	return all
 }
 
+// sameWeights reports whether the placements of both revisions are the same, without computing them.
+func (c *Config) sameWeights(before *Service, next *Config, after *Service) bool {
+	cells, weights := c.cellWeights(before)
+	otherCells, otherWeights := next.cellWeights(after)
+	return slices.Equal(cells, otherCells) && slices.Equal(weights, otherWeights)
+}
+
 func comparePlacements(service string, before, after *Placement) Moves {
 	moves := Moves{Service: service, Partitions: len(after.ByPartition)}
 	gained := make(map[string]int)
--- a/internal/config/validate_hosts.go
+++ b/internal/config/validate_hosts.go
@@ -76,9 +76,37 @@
 			v.add(section, "at", "", "has no time", "give the time as 2026-01-31T14:00:00Z")
 		}
 		v.checkStopLength(section, stop.ForSeconds)
+		v.checkStoppedCell(section, stop)
 	}
 }
 
+// checkStoppedCell refuses a stop during which no host of a cell is left to take over. A cell with a single host has
+// none to take over at any time.
+func (v *validator) checkStoppedCell(section string, stop Stop) {
+	host, ok := v.config.Host(stop.Target)
+	if !ok {
+		return
+	}
+	hosts := v.config.CellHosts(host.Cell)
+	for _, other := range hosts {
+		if len(hosts) == 1 || !v.config.isStopped(other.Name, stop.At) {
+			return
+		}
+	}
+	v.add(section, "at", stop.At.UTC().Format(time.RFC3339), "every host of cell "+host.Cell+" would be stopped at this time",
+		"choose a time at which another host of the cell stays")
+}
+
+// isStopped reports whether a host has a planned stop at the given time.
+func (c *Config) isStopped(name string, at time.Time) bool {
+	for _, stop := range c.Stops {
+		if stop.Target == name && !at.Before(stop.At) && at.Before(stop.End()) {
+			return true
+		}
+	}
+	return false
+}
+
 func (v *validator) checkStopLength(section string, seconds int64) {
 	if seconds < 1 || seconds > int64(MaxStopLength/time.Second) {
 		v.add(section, "for_seconds", strconv.FormatInt(seconds, 10), "is out of range",
--- a/internal/ctl/accept.go
+++ b/internal/ctl/accept.go
@@ -69,8 +69,12 @@
 	if seen > 0 {
 		headers = map[string]string{"If-Match": strconv.Quote(strconv.FormatUint(seen, 10))}
 	}
+	document, err := next.Encode()
+	if err != nil {
+		return nil, err
+	}
 	accepted := &config.Config{}
-	m := message{method: http.MethodPut, path: "/config?" + query.Encode(), headers: headers, body: next}
+	m := message{method: http.MethodPut, path: "/config?" + query.Encode(), headers: headers, body: document}
 	return accepted, gateway.change(m, id, accepted)
 }
 
--- a/internal/ctl/announce.go
+++ b/internal/ctl/announce.go
@@ -1,10 +1,13 @@
 package ctl
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/sapphireplank/sapphireplank/internal/admin"
 )
 
@@ -28,8 +31,11 @@
 	if c.For < time.Second || c.For%time.Second != 0 {
 		return usage("--for %s is not a number of whole seconds", c.For)
 	}
-	request := admin.StopRequest{Target: c.Args.Host, At: at, ForSeconds: int64(c.For / time.Second)}
-	m := message{method: http.MethodPost, path: "/stops", body: request}
+	body, err := json.Marshal(admin.StopRequest{Target: c.Args.Host, At: at, ForSeconds: int64(c.For / time.Second)})
+	if err != nil {
+		return errors.Wrap(err, "encode the announcement")
+	}
+	m := message{method: http.MethodPost, path: "/stops", body: body}
 	line := fmt.Sprintf("announced: %s stops at %s for %s; follow it with plankctl stop list %s",
 		c.Args.Host, at.Format(time.RFC3339), c.For, c.Args.Host)
 	return c.session.changeStops(m, c.ID, line)
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -90,7 +90,7 @@
 	method  string
 	path    string
 	headers map[string]string
-	body    any
+	body    []byte
 }
 
 // get asks a question.
@@ -146,11 +146,7 @@
 func (c *client) request(ctx context.Context, m message) (*http.Request, error) {
 	var body io.Reader
 	if m.body != nil {
-		text, err := json.Marshal(m.body)
-		if err != nil {
-			return nil, errors.Wrap(err, "encode the request")
-		}
-		body = bytes.NewReader(text)
+		body = bytes.NewReader(m.body)
 	}
 	request, err := http.NewRequestWithContext(ctx, m.method, c.base+m.path, body)
 	if err != nil {
--- a/internal/questionnaire/explain.go
+++ b/internal/questionnaire/explain.go
@@ -41,11 +41,8 @@
 }
 
 func (g *generator) explainTeam() {
-	rule := "keys move only when the imbalance requires it"
-	if g.answers.Preference == config.PreferBalance {
-		rule = "keys move as soon as the imbalance passes its target"
-	}
-	g.derive("team "+g.answers.Team+": preference", string(g.answers.Preference), rule, "[preference] favour")
+	g.derive("team "+g.answers.Team+": preference", string(g.answers.Preference),
+		"the assignment of keys gives this measure the most weight", "[preference] favour")
 	g.derive("team "+g.answers.Team+": losses checked", strconv.Itoa(len(g.answers.Tolerated))+" kinds of loss",
 		"hosts, racks and zones are enough for each of them", "[losses] tolerated")
 }
--- a/internal/questionnaire/questionnairetest/bad.go
+++ b/internal/questionnaire/questionnairetest/bad.go
@@ -38,7 +38,7 @@
 	{"", string(bytes.Repeat([]byte("#\n"), questionnaire.MaxBytes/2)), `[questionnaire] = "`},
 	{"", "[team]\nname = again\n", `[team]: appears twice`},
 	{"[preference]", "[losses x]", `[losses x]: is not a section`},
-	{"[preference]\n# What weighs most: unavailable-time (keys move only when the imbalance requires it) or imbalance (keys move as\n# soon as the imbalance passes its target).\nfavour = unavailable-time\n", "", `[preference]: is missing`},
+	{"[preference]\n# What the assignment of keys gives the most weight: unavailable-time or imbalance.\nfavour = unavailable-time\n", "", `[preference]: is missing`},
 	{"favour = unavailable-time", "favour = speed", `[preference] favour = "speed": is not one of the choices`},
 	{"favour = unavailable-time", "favour =", `[preference] favour: has no answer`},
 	{"favour = unavailable-time", "favor = imbalance\nfavour = imbalance", `[preference] favor = "imbalance": is not a question`},
