assign: let hot keys move first and smooth them faster

After a change of the hot keys, whole partitions moved to make room for keys whose new place was free a second later, and a server with a key that is too hot counted as unbalanced for ever, so that noise moved partitions in each round. Now keys move at once, partitions only after the deviation has lasted (2 s, or 5 s for unavailable time), and the key counts as the server's share. Key loads have a half-life of 0.5 s.

--- a/internal/assign/input.go
+++ b/internal/assign/input.go
@@ -21,6 +21,8 @@
 	Partitions []PartitionLoad
 	// Overrides are the overrides in force, as the previous Result returned them.
 	Overrides []Override
+	// UnbalancedSince is the value that the previous Result returned, or 0.
+	UnbalancedSince time.Duration
 	// HotKeys holds the load of each key that a home reports as heavy, with or without an override. A key that is
 	// missing has no load worth naming.
 	HotKeys []KeyLoad
--- a/internal/assign/moves.go
+++ b/internal/assign/moves.go
@@ -1,6 +1,9 @@
 package assign
 
-import "sort"
+import (
+	"math"
+	"sort"
+)
 
 // minGain is the least difference of load, relative to the share, that a move must remove.
 const minGain = 0.002
@@ -12,12 +15,16 @@
 // balance moves units from overloaded to underloaded servers until every server is near its share, no move helps or
 // the limit of the round is reached.
 func (r *round) balance() {
-	limit := r.tuning.moveLimit(len(r.units))
 	if !r.needsBalance() {
 		return
 	}
+	first := 0
+	if r.waitsForKeys() {
+		first = len(r.in.Partitions)
+	}
+	limit := r.tuning.moveLimit(len(r.units))
 	for range maxPasses {
-		pass := newBalancePass(r, limit)
+		pass := newBalancePass(r, limit, first)
 		moved := pass.run()
 		limit -= moved
 		if moved == 0 {
@@ -32,20 +39,39 @@
 	r.deferred = true
 }
 
-// needsBalance reports whether a server deviates from its share by more than StartAt.
+// needsBalance reports whether a server deviates from its share by more than StartAt. The share of a server with a
+// key that is too hot is that key alone.
 func (r *round) needsBalance() bool {
-	for server := range r.capacity {
-		if r.capacity[server] == 0 {
+	full := make([]float64, len(r.capacity))
+	for i := range r.tooHot {
+		key := &r.units[len(r.in.Partitions)+i]
+		full[key.owner] += key.load
+	}
+	for server, capacity := range r.capacity {
+		if capacity == 0 {
 			continue
 		}
-		ratio := r.ratio(int32(server))
-		if ratio > 1+r.tuning.StartAt || ratio < 1-r.tuning.StartAt {
+		want := capacity * r.share
+		if full[server] > want {
+			want = full[server]
+		}
+		if math.Abs(r.load[server]-want) > r.tuning.StartAt*capacity*r.share {
 			return true
 		}
 	}
 	return false
 }
 
+// waitsForKeys records since when the servers deviate and reports whether only hot keys may move.
+func (r *round) waitsForKeys() bool {
+	now := max(r.in.Now, 1)
+	r.unbalancedSince = r.in.UnbalancedSince
+	if r.unbalancedSince <= 0 || r.unbalancedSince > now {
+		r.unbalancedSince = now
+	}
+	return !hasPassed(now, r.unbalancedSince, r.tuning.PartitionWait)
+}
+
 // balancePass moves each unit at most once.
 type balancePass struct {
 	round *round
@@ -56,13 +82,14 @@
 	owned     ownedUnits
 }
 
-func newBalancePass(r *round, limit int) *balancePass {
+// newBalancePass returns a pass over the units from first on.
+func newBalancePass(r *round, limit, first int) *balancePass {
 	pass := &balancePass{
 		round:     r,
 		limit:     limit,
 		donors:    newServerHeap(len(r.capacity)),
 		receivers: newServerHeap(len(r.capacity)),
-		owned:     newOwnedUnits(r),
+		owned:     newOwnedUnits(r, first),
 	}
 	for server := range r.capacity {
 		if r.capacity[server] > 0 {
--- a/internal/assign/owned.go
+++ b/internal/assign/owned.go
@@ -6,19 +6,20 @@
 	sorted []bool
 }
 
-func newOwnedUnits(r *round) ownedUnits {
+// newOwnedUnits lists the units from first on.
+func newOwnedUnits(r *round, first int) ownedUnits {
 	counts := make([]int, len(r.capacity))
-	for i := range r.units {
+	for i := first; i < len(r.units); i++ {
 		if owner := r.units[i].owner; owner != noServer {
 			counts[owner]++
 		}
 	}
-	all := make([]int32, len(r.units))
+	all := make([]int32, len(r.units)-first)
 	owned := ownedUnits{lists: make([][]int32, len(counts)), sorted: make([]bool, len(counts))}
 	for server, count := range counts {
 		owned.lists[server], all = all[:0:count], all[count:]
 	}
-	for i := range r.units {
+	for i := first; i < len(r.units); i++ {
 		if owner := r.units[i].owner; owner != noServer {
 			owned.lists[owner] = append(owned.lists[owner], int32(i))
 		}
--- a/internal/assign/policy.go
+++ b/internal/assign/policy.go
@@ -16,15 +16,15 @@
 	tuning := p.tuning(in.Preference)
 	r := newRound(in, &tuning)
 	if r.capacitySum == 0 {
-		return r.result(nil)
+		return r.result()
 	}
-	tooHot := r.computeShare()
+	r.computeShare()
 	r.sumLoads()
 	r.placeForced()
 	if r.forced == 0 {
 		r.balance()
 	}
-	return r.result(tooHot)
+	return r.result()
 }
 
 func (p Policy) tuning(preference config.Preference) Tuning {
--- a/internal/assign/report.go
+++ b/internal/assign/report.go
@@ -1,11 +1,12 @@
 package assign
 
 // result translates the state of the round to names.
-func (r *round) result(tooHot []KeyLoad) *Result {
+func (r *round) result() *Result {
 	result := &Result{
-		Owners:   make([]string, len(r.in.Partitions)),
-		TooHot:   tooHot,
-		Deferred: r.deferred,
+		Owners:          make([]string, len(r.in.Partitions)),
+		TooHot:          r.tooHot,
+		Deferred:        r.deferred,
+		UnbalancedSince: r.unbalancedSince,
 	}
 	if moved := r.countMoved(); moved > 0 {
 		result.Moves = make([]Move, 0, moved)
@@ -21,7 +22,7 @@
 	r.addOverrides(result)
 	r.addReturns(result)
 	if r.capacitySum > 0 {
-		result.Imbalance = r.imbalance(tooHot)
+		result.Imbalance = r.imbalance()
 	}
 	return result
 }
@@ -85,11 +86,11 @@
 }
 
 // imbalance returns the greatest load relative to its share, without the keys that are too hot.
-func (r *round) imbalance(tooHot []KeyLoad) float64 {
+func (r *round) imbalance() float64 {
 	r.sumLoads()
-	for i := range tooHot {
+	for i := range r.tooHot {
 		owner := r.units[len(r.in.Partitions)+i].owner
-		r.load[owner] -= tooHot[i].Load
+		r.load[owner] -= r.tooHot[i].Load
 	}
 	greatest := 0.0
 	for server := range r.capacity {
--- a/internal/assign/result.go
+++ b/internal/assign/result.go
@@ -1,6 +1,10 @@
 package assign
 
-import "github.com/sapphireplank/sapphireplank/internal/keyspace"
+import (
+	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/keyspace"
+)
 
 // Result is the outcome of one round.
 type Result struct {
@@ -13,6 +17,9 @@
 	Moves []Move
 	// Deferred is true if the limits of the round left moves for later rounds.
 	Deferred bool
+	// UnbalancedSince is the monotonic time since which a server deviates from its share by more than
+	// Tuning.StartAt, or 0. The next Input takes it.
+	UnbalancedSince time.Duration
 	// TooHot names the keys that alone exceed the share of a whole server, hottest first. No assignment can balance
 	// them.
 	TooHot []KeyLoad
--- a/internal/assign/share.go
+++ b/internal/assign/share.go
@@ -1,9 +1,9 @@
 package assign
 
-// computeShare adds the floor to the partitions, sets the load per capacity that a server should have, and returns
+// computeShare adds the floor to the partitions, sets the load per capacity that a server should have, and finds
 // the keys that exceed the share of a whole server. Such a key fills a server of its own, so it and that server do
 // not count for the share of the others.
-func (r *round) computeShare() []KeyLoad {
+func (r *round) computeShare() {
 	r.addFloor()
 	total := 0.0
 	for i := range r.units {
@@ -12,17 +12,15 @@
 	up, greatest := r.countUp()
 	capacity := r.capacitySum
 	mean := capacity / float64(up)
-	var tooHot []KeyLoad
 	for i, load := range r.hot.loads {
-		if len(tooHot) == up-1 || load <= total/capacity*greatest {
+		if len(r.tooHot) == up-1 || load <= total/capacity*greatest {
 			break
 		}
-		tooHot = append(tooHot, KeyLoad{Key: r.hot.overrides[i].Key, Load: load})
+		r.tooHot = append(r.tooHot, KeyLoad{Key: r.hot.overrides[i].Key, Load: load})
 		total -= load
 		capacity -= mean
 	}
 	r.share = total / capacity
-	return tooHot
 }
 
 // addFloor adds the even part of the load to each partition.
--- a/internal/assign/tracker.go
+++ b/internal/assign/tracker.go
@@ -8,10 +8,23 @@
 	"github.com/sapphireplank/sapphireplank/internal/keyspace"
 )
 
+// Smoothing holds the times after which a reading counts half.
+type Smoothing struct {
+	// Partitions is the half-life of the loads of partitions, which are small and noisy.
+	Partitions time.Duration
+	// Keys is the half-life of the loads of keys with an override, which are large and change within seconds.
+	Keys time.Duration
+}
+
+// DefaultSmoothing returns the half-lives of the system.
+func DefaultSmoothing() Smoothing {
+	return Smoothing{Partitions: 5 * time.Second, Keys: 500 * time.Millisecond}
+}
+
 // Tracker smooths the work that homes report into the loads of an Input. It moves the load of a key between its
 // partition and its override when the override starts or ends. A Tracker is not safe for concurrent use.
 type Tracker struct {
-	halfLife time.Duration
+	smoothing Smoothing
 	// pending is the work of each partition since the last Advance.
 	pending []float64
 	// rates are the averages of the partitions, all of them with the same weight.
@@ -27,13 +40,13 @@
 	average EWMA
 }
 
-// NewTracker returns a tracker for a service with count partitions. A reading counts half after halfLife.
-func NewTracker(count int, halfLife time.Duration) *Tracker {
+// NewTracker returns a tracker for a service with count partitions.
+func NewTracker(count int, smoothing Smoothing) *Tracker {
 	return &Tracker{
-		halfLife: halfLife,
-		pending:  make([]float64, count),
-		rates:    make([]float64, count),
-		keys:     make(map[string]*trackedKey),
+		smoothing: smoothing,
+		pending:   make([]float64, count),
+		rates:     make([]float64, count),
+		keys:      make(map[string]*trackedKey),
 	}
 }
 
@@ -59,15 +72,15 @@
 	if interval <= 0 {
 		return
 	}
-	t.weight.Add(interval.Seconds(), interval, t.halfLife)
+	t.weight.Add(interval.Seconds(), interval, t.smoothing.Partitions)
 	for id, work := range t.pending {
 		average := EWMA{rate: t.rates[id]}
-		average.Add(work, interval, t.halfLife)
+		average.Add(work, interval, t.smoothing.Partitions)
 		t.rates[id] = average.rate
 	}
 	clear(t.pending)
 	for _, tracked := range t.keys {
-		tracked.average.Add(tracked.pending, interval, t.halfLife)
+		tracked.average.Add(tracked.pending, interval, t.smoothing.Keys)
 		tracked.pending = 0
 	}
 }
--- a/internal/assign/tuning.go
+++ b/internal/assign/tuning.go
@@ -15,6 +15,9 @@
 	StopAt float64
 	// MoveShare bounds the balancing moves of one round, as a share of the partitions and overrides.
 	MoveShare float64
+	// PartitionWait is the time for which a deviation must last before whole partitions move to remove it. Hot keys
+	// move at once, because a key is small and a change of the hot keys is often over after they moved.
+	PartitionWait time.Duration
 	// SplitAt is the load of a key, as a share of one server, at which it leaves its partition.
 	SplitAt float64
 	// ReturnAt is the load of a key, as a share of one server, below which it may return.
@@ -40,6 +43,7 @@
 		StartAt:       0.08,
 		StopAt:        0.03,
 		MoveShare:     1.0 / 64,
+		PartitionWait: 5 * time.Second,
 		SplitAt:       0.10,
 		ReturnAt:      0.05,
 		ReturnAfter:   30 * time.Second,
@@ -49,9 +53,10 @@
 		RoundInterval: 500 * time.Millisecond,
 	}
 	if p == config.PreferBalance {
-		tuning.StartAt = 0.04
-		tuning.StopAt = 0.015
+		tuning.StartAt = 0.06
+		tuning.StopAt = 0.02
 		tuning.MoveShare = 1.0 / 32
+		tuning.PartitionWait = 2 * time.Second
 		tuning.SplitAt = 0.05
 		tuning.ReturnAt = 0.025
 	}
--- a/internal/assign/units.go
+++ b/internal/assign/units.go
@@ -1,6 +1,9 @@
 package assign
 
-import "sort"
+import (
+	"sort"
+	"time"
+)
 
 // noServer is the index of a missing or unknown server.
 const noServer int32 = -1
@@ -25,11 +28,15 @@
 	hot         hotKeys
 	// share is the load per capacity of a server with exactly its share, without the keys that are too hot.
 	share float64
+	// tooHot are the keys that exceed the share of a whole server: the first overrides.
+	tooHot []KeyLoad
 	// load is the load of each server.
 	load []float64
 	// forced counts the moves that a leave or a missing owner caused.
 	forced   int
 	deferred bool
+	// unbalancedSince is the value for the result.
+	unbalancedSince time.Duration
 }
 
 func newRound(in *Input, tuning *Tuning) *round {
--- a/internal/bench/ring.go
+++ b/internal/bench/ring.go
@@ -39,7 +39,7 @@
 func newRingRouter(work *workload, count int) *ringRouter {
 	r := &ringRouter{
 		work:    work,
-		tracker: assign.NewTracker(count, loadHalfLife),
+		tracker: assign.NewTracker(count, assign.DefaultSmoothing()),
 		owners:  make([]int32, count),
 		keys:    make([]int, count),
 		last:    -time.Second,
