--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -90,6 +90,10 @@
 	if err != nil {
 		return err
 	}
+	tokens, err := operatorTokens(d.Config.Team)
+	if err != nil {
+		return err
+	}
 	started, err := node.Start(node.Options{
 		Host:          name,
 		Team:          d.Config.Team,
@@ -102,6 +106,7 @@
 		Events:        timeline.NewLog(timeline.LogOptions{Host: name, Output: events}),
 		Logs:          d.logs,
 		Observer:      gateway.NoObserver{},
+		Tokens:        tokens,
 	})
 	if err != nil {
 		return errors.Wrapf(err, "gateway %s", name)
--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -17,10 +17,15 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			reports[i] = d.Run(ctx, f.Duration, f.Scale, f.Heavy, f.Seed)
+			reports[i] = d.Run(ctx, f)
 		}()
 	}
 	wg.Wait()
+	return writeReports(reports, out)
+}
+
+// writeReports prints all reports and returns whether any promise was broken.
+func writeReports(reports []*Report, out io.Writer) bool {
 	violated := false
 	for _, r := range reports {
 		r.Write(out)
@@ -30,15 +35,20 @@
 }
 
 // Run sends load to the deployment, loses a gateway and a backend server on the way, and evaluates the result.
-func (d *Deployment) Run(ctx context.Context, duration time.Duration, scale, heavy float64, seed uint64) *Report {
-	caller := NewCaller(d.Balancer, d.Ledger)
-	defer caller.Close()
-	ctx, cancel := context.WithTimeout(ctx, duration)
+func (d *Deployment) Run(ctx context.Context, f flagSet) *Report {
+	ctx, cancel := context.WithTimeout(ctx, f.Duration)
 	defer cancel()
 	start := time.Now()
 	lost := make(chan failures, 1)
-	go func() { lost <- d.inject(ctx, duration) }()
-	traffic := NewTraffic(caller, seed)
-	traffic.Run(ctx, profiles(d.Config, float64(meanServiceTime.Milliseconds()), heavy, scale))
-	return newReport(d, <-lost, start, duration)
+	go func() { lost <- d.inject(ctx, f.Duration) }()
+	d.load(ctx, f)
+	return newReport(d, <-lost, start, f.Duration)
+}
+
+// load sends the load of all callers until ctx ends.
+func (d *Deployment) load(ctx context.Context, f flagSet) {
+	caller := NewCaller(d.Balancer, d.Ledger)
+	defer caller.Close()
+	traffic := NewTraffic(caller, f.Seed)
+	traffic.Run(ctx, profiles(d.Config, float64(meanServiceTime.Milliseconds()), f.Heavy, f.Scale))
 }
--- a/internal/dev/serve.go
+++ b/internal/dev/serve.go
@@ -4,17 +4,44 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
+	"time"
 )
 
-// serve prints the addresses of all gateways and waits for the end of ctx.
-func serve(ctx context.Context, deployments []*Deployment, out io.Writer) error {
+// serve prints the addresses of all gateways and waits for the end of ctx. With load it prints a report then, and
+// returns whether any promise was broken.
+func serve(ctx context.Context, f flagSet, deployments []*Deployment, out io.Writer) bool {
 	for _, d := range deployments {
-		fmt.Fprintf(out, "%s (team %s)\n", d.Name, d.Config.Team)
-		for _, host := range d.Config.Hosts {
-			fmt.Fprintf(out, "  %s\tcallers http://%s\toperators http://%s\n", host.Name, host.CallerAddress, host.AdminAddress)
-		}
+		d.writeAddresses(out)
 	}
+	fmt.Fprintf(out, "operators' token: %s (export PLANK_TOKEN=%s)\n", operatorToken, operatorToken)
 	fmt.Fprintln(out, "serving; end with Ctrl-C")
-	<-ctx.Done()
-	return nil
+	if !f.Load {
+		<-ctx.Done()
+		return false
+	}
+	return serveLoad(ctx, f, deployments, out)
+}
+
+func (d *Deployment) writeAddresses(out io.Writer) {
+	fmt.Fprintf(out, "%s (team %s)\n", d.Name, d.Config.Team)
+	for _, host := range d.Config.Hosts {
+		fmt.Fprintf(out, "  %s\tcallers http://%s\toperators http://%s\n", host.Name, host.CallerAddress, host.AdminAddress)
+	}
+}
+
+func serveLoad(ctx context.Context, f flagSet, deployments []*Deployment, out io.Writer) bool {
+	reports := make([]*Report, len(deployments))
+	var wg sync.WaitGroup
+	for i, d := range deployments {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			start := time.Now()
+			d.load(ctx, f)
+			reports[i] = newReport(d, failures{}, start, time.Since(start))
+		}()
+	}
+	wg.Wait()
+	return writeReports(reports, out)
 }
