node: ask gateways of other cells for operators

Cause: a gateway knew owners, stops and states of its own cell only, and showed keys of other cells as without owner.

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -116,7 +116,8 @@
 
 type handlerWithoutControl struct{ *Gateway }
 
-func (handlerWithoutControl) HandleControl([]byte) {}
+func (handlerWithoutControl) HandleControl([]byte)      {}
+func (handlerWithoutControl) HandleQuery([]byte) []byte { return nil }
 
 func (p *pair) request(t *testing.T, method, path string, header map[string]string, body string) *http.Request {
 	t.Helper()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,8 +116,12 @@
 type peerHandler struct {
 	*gateway.Gateway
 	*control.Loop
+	node *Node
 }
 
+// HandleQuery answers a query of another gateway.
+func (h peerHandler) HandleQuery(payload []byte) []byte { return h.node.HandleQuery(payload) }
+
 func (n *Node) listen() error {
 	peers, err := n.open(n.options.PeerAddress)
 	if err != nil {
@@ -131,7 +135,7 @@
 	if err != nil {
 		return err
 	}
-	n.peers = peer.NewServer(peerHandler{n.gateway, n.loop})
+	n.peers = peer.NewServer(peerHandler{n.gateway, n.loop, n})
 	n.callers = &http.Server{
 		Handler:           n.gateway,
 		ReadHeaderTimeout: headerTimeout,
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -10,12 +10,27 @@
 	"github.com/sapphireplank/sapphireplank/internal/keyspace"
 )
 
-// Owner returns the owner of a key. The server is known for keys of this gateway's cell only.
-func (s *sources) Owner(_ context.Context, team, service, key string) (*admin.Ownership, error) {
+// Owner returns the owner of a key. A gateway of the cell that owns the key answers.
+func (s *sources) Owner(ctx context.Context, team, service, key string) (*admin.Ownership, error) {
 	view, err := s.view(team)
 	if err != nil {
 		return nil, err
 	}
+	ownership, err := s.ownerHere(view, service, key)
+	if err != nil || ownership.Cell == view.Cell {
+		return ownership, err
+	}
+	remote := new(admin.Ownership)
+	q := query{Kind: queryOwner, Team: team, Service: service, Key: key}
+	if err := s.node.askCell(ctx, view.Config.CellHosts(ownership.Cell), q, remote); err != nil {
+		// The cell cannot be reached, so that only the partition is known.
+		return ownership, nil
+	}
+	return remote, nil
+}
+
+// ownerHere returns what this gateway knows of the owner of a key.
+func (s *sources) ownerHere(view *gateway.View, service, key string) (*admin.Ownership, error) {
 	configured, ok := view.Config.Service(service)
 	if !ok || !configured.Keyed {
 		return nil, errors.Wrapf(admin.ErrNotFound, "service %s is not configured or not divided by key", service)
--- a/internal/node/sources.go
+++ b/internal/node/sources.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -94,6 +93,3 @@
 	}
 	return accepted, nil
 }
-
-// wallClock returns the current wall clock time.
-func wallClock() time.Time { return time.Now() }
--- a/internal/node/stopprogress.go
+++ b/internal/node/stopprogress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sapphireplank/sapphireplank/internal/admin"
@@ -9,23 +10,67 @@
 	"github.com/sapphireplank/sapphireplank/internal/gateway"
 )
 
-// StopProgress returns how far each planned stop has come. The work of hosts and servers in other cells is not known
-// here; their stops name a zone whose gateways know.
-func (s *sources) StopProgress(_ context.Context, team string) ([]admin.StopProgress, error) {
+// StopProgress returns how far each planned stop has come. Gateways of the target's cell answer for it.
+func (s *sources) StopProgress(ctx context.Context, team string) ([]admin.StopProgress, error) {
 	view, err := s.view(team)
 	if err != nil {
 		return nil, err
 	}
 	list := make([]admin.StopProgress, 0, len(view.Config.Stops))
 	for _, stop := range view.Config.Stops {
-		list = append(list, s.progress(view, stop))
+		list = append(list, s.progress(ctx, view, stop))
 	}
 	return list, nil
 }
 
-func (s *sources) progress(view *gateway.View, stop config.Stop) admin.StopProgress {
+func (s *sources) progress(ctx context.Context, view *gateway.View, stop config.Stop) admin.StopProgress {
+	here := s.progressHere(view, stop, time.Now())
+	cellName := targetCell(view.Config, stop.Target)
+	if here.State != admin.StopDraining || cellName == view.Cell {
+		return here
+	}
+	remote := admin.StopProgress{}
+	q := query{Kind: queryStop, Team: view.Config.Team, Stop: stop}
+	if err := s.node.askCell(ctx, hostsFirst(view.Config.CellHosts(cellName), stop.Target), q, &remote); err != nil {
+		here.Detail = "no gateway of the cell " + cellName + " answers"
+		return here
+	}
+	return remote
+}
+
+// targetCell returns the cell of a host or backend server.
+func targetCell(c *config.Config, target string) string {
+	if host, ok := c.Host(target); ok {
+		return host.Cell
+	}
+	for i := range c.Services {
+		for _, server := range c.Services[i].Servers {
+			if server.Name == target {
+				return server.Cell
+			}
+		}
+	}
+	return ""
+}
+
+// hostsFirst puts the host with the given name first, which knows its own requests.
+func hostsFirst(hosts []config.Host, name string) []config.Host {
+	slices.SortStableFunc(hosts, func(a, b config.Host) int {
+		switch {
+		case a.Name == name:
+			return -1
+		case b.Name == name:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return hosts
+}
+
+// progressHere returns what this gateway knows of a planned stop in its cell.
+func (s *sources) progressHere(view *gateway.View, stop config.Stop, now time.Time) admin.StopProgress {
 	p := admin.StopProgress{Target: stop.Target, At: stop.At, ForSeconds: stop.ForSeconds}
-	now := wallClock()
 	switch {
 	case now.After(stop.At.Add(time.Duration(stop.ForSeconds) * time.Second)):
 		p.State = admin.StopOver
@@ -44,10 +89,6 @@
 }
 
 func (s *sources) hostProgress(view *gateway.View, host *config.Host, p *admin.StopProgress) {
-	if host.Cell != view.Cell {
-		p.Detail = "ask a gateway in zone " + host.Zone
-		return
-	}
 	for _, server := range view.Snapshot.Servers {
 		if server.Home == host.Name {
 			p.Homes++
@@ -69,7 +110,7 @@
 func (s *sources) serverProgress(view *gateway.View, p *admin.StopProgress) {
 	server, ok := view.Snapshot.Servers[p.Target]
 	if !ok {
-		p.Detail = "ask a gateway in the zone of the backend server"
+		p.Detail = "the cell does not know the backend server yet"
 		return
 	}
 	owned := 0
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -20,6 +20,8 @@
 	HandleRequest(head []byte, stream *Stream)
 	// HandleControl takes one control payload. It must not block and may keep the payload.
 	HandleControl(payload []byte)
+	// HandleQuery answers one query of another gateway.
+	HandleQuery(payload []byte) []byte
 }
 
 // Stream is an accepted request stream.
@@ -121,6 +123,10 @@
 		switch frameType {
 		case wire.FrameControl:
 			s.handler.HandleControl(payload)
+		case wire.FrameQuery:
+			// A failed write leaves the sender without an answer, which it treats as such.
+			_ = wire.WriteFrame(conn, wire.FrameQuery, s.handler.HandleQuery(payload))
+			return
 		case wire.FrameRequestHead:
 			s.handler.HandleRequest(payload, &Stream{Reader: reader, Conn: conn})
 			return
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -18,6 +18,7 @@
 	FrameBody         FrameType = 3
 	FrameEnd          FrameType = 4
 	FrameControl      FrameType = 5
+	FrameQuery        FrameType = 6
 )
 
 const (
