--- a/internal/dev/balancer.go
+++ b/internal/dev/balancer.go
@@ -20,19 +20,6 @@
 	b.addresses = append([]string(nil), addresses...)
 }
 
-// Remove takes one gateway out.
-func (b *Balancer) Remove(address string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	kept := b.addresses[:0]
-	for _, a := range b.addresses {
-		if a != address {
-			kept = append(kept, a)
-		}
-	}
-	b.addresses = kept
-}
-
 // Pick returns the address of one gateway.
 func (b *Balancer) Pick() string {
 	b.mu.Lock()
--- a/internal/dev/caller.go
+++ b/internal/dev/caller.go
@@ -52,12 +52,12 @@
 // Send sends one request and records the result.
 func (c *Caller) Send(ctx context.Context, q call) {
 	record := Record{Service: q.service, Key: q.key, Subscriber: q.subscriber, Identity: q.identity,
-		Idempotent: q.idempotent, Start: time.Now()}
+		Idempotent: q.idempotent, Gateway: c.balancer.Pick(), Start: time.Now()}
 	ctx, cancel := context.WithTimeout(ctx, q.timeout+callerPatience)
 	defer cancel()
 	var written atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { written.Store(true) }})
-	response, err := c.client.Do(c.request(ctx, q))
+	response, err := c.client.Do(c.request(ctx, record.Gateway, q))
 	if err != nil {
 		record.Result, record.Kind = brokenResult(written.Load()), "connection"
 	} else {
@@ -70,8 +70,8 @@
 // plainReader hides the type of a body from net/http, so that the caller's own transport never repeats a request.
 type plainReader struct{ io.Reader }
 
-func (c *Caller) request(ctx context.Context, q call) *http.Request {
-	url := "http://" + c.balancer.Pick() + "/v1/" + q.service + q.operation.path
+func (c *Caller) request(ctx context.Context, address string, q call) *http.Request {
+	url := "http://" + address + "/v1/" + q.service + q.operation.path
 	var body io.Reader
 	if !q.idempotent {
 		body = plainReader{strings.NewReader("x")}
--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/sapphireplank/sapphireplank/internal/accept"
 	"github.com/sapphireplank/sapphireplank/internal/config"
 	"github.com/sapphireplank/sapphireplank/internal/control"
 	"github.com/sapphireplank/sapphireplank/internal/gateway"
@@ -34,11 +38,15 @@
 	Ledger     *Ledger
 	Balancer   *Balancer
 	servers    *servers
-	nodes      map[string]*node.Node
+	closed     chan struct{}
 	logs       *logging.Logs
 	// eventDir is the directory for event logs, or "".
 	eventDir string
 	files    []io.Closer
+
+	// mu protects the fields below.
+	mu    sync.Mutex
+	nodes map[string]*node.Node
 }
 
 // StartDeployment starts the store, all backend servers and all gateways of a configuration.
@@ -51,6 +59,7 @@
 		Ledger:     new(Ledger),
 		Balancer:   new(Balancer),
 		nodes:      make(map[string]*node.Node),
+		closed:     make(chan struct{}),
 		logs:       logs,
 		eventDir:   eventDir,
 	}
@@ -67,7 +76,7 @@
 			return nil, err
 		}
 	}
-	d.balanceOverAll()
+	go d.followReadiness()
 	return d, nil
 }
 
@@ -111,6 +120,8 @@
 	if err != nil {
 		return errors.Wrapf(err, "gateway %s", name)
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.nodes[name] = started
 	return nil
 }
@@ -139,12 +150,33 @@
 	return seeds
 }
 
-func (d *Deployment) balanceOverAll() {
+// readinessInterval is the interval at which the balancer asks the gateways for their readiness.
+const readinessInterval = 250 * time.Millisecond
+
+// followReadiness keeps the balancer at the gateways that are ready, until Close.
+func (d *Deployment) followReadiness() {
+	ticker := time.NewTicker(readinessInterval)
+	defer ticker.Stop()
+	for {
+		if addresses := d.readyAddresses(); len(addresses) > 0 {
+			d.Balancer.Set(addresses)
+		}
+		select {
+		case <-d.closed:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *Deployment) readyAddresses() []string {
 	var addresses []string
-	for _, host := range d.Config.Hosts {
-		addresses = append(addresses, host.CallerAddress)
+	for _, n := range d.all() {
+		if n.Gateway().Ready() {
+			addresses = append(addresses, n.CallerAddress())
+		}
 	}
-	d.Balancer.Set(addresses)
+	return addresses
 }
 
 // ErrNotReady means that a deployment did not come up.
@@ -166,7 +198,7 @@
 }
 
 func (d *Deployment) ready() bool {
-	for _, n := range d.nodes {
+	for _, n := range d.all() {
 		if !n.Gateway().Serves() {
 			return false
 		}
@@ -176,33 +208,62 @@
 
 // Node returns the gateway of a host, if it runs.
 func (d *Deployment) Node(host string) (*node.Node, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	n, ok := d.nodes[host]
 	return n, ok
 }
 
+// all returns the running gateways.
+func (d *Deployment) all() []*node.Node {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Collect(maps.Values(d.nodes))
+}
+
+// take removes a gateway from the running ones.
+func (d *Deployment) take(name string) (*node.Node, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n, ok := d.nodes[name]
+	delete(d.nodes, name)
+	return n, ok
+}
+
 // KillGateway ends a gateway as a crash does. The balancer notices after a while.
 func (d *Deployment) KillGateway(name string) {
-	if n, ok := d.nodes[name]; ok {
-		delete(d.nodes, name)
+	if n, ok := d.take(name); ok {
 		n.Kill()
 	}
 }
 
-// StopGateway is a planned stop of a gateway.
+// StopGateway is a planned stop of a gateway. The balancer follows its readiness.
 func (d *Deployment) StopGateway(ctx context.Context, name string) error {
-	n, ok := d.nodes[name]
+	n, ok := d.Node(name)
 	if !ok {
 		return nil
 	}
-	delete(d.nodes, name)
-	d.Balancer.Remove(n.CallerAddress())
-	return n.Shutdown(ctx)
+	err := n.Shutdown(ctx)
+	d.take(name)
+	return err
+}
+
+// AnnounceStop announces a planned stop that begins now.
+func (d *Deployment) AnnounceStop(ctx context.Context, target string, length time.Duration) error {
+	accepter := &accept.Accepter{Store: d.Store}
+	_, err := accepter.Announce(ctx, d.Config.Team, accept.Announcement{
+		ID:       "stop-" + target,
+		Operator: "plank-dev",
+		Stop:     config.Stop{Target: target, At: time.Now(), ForSeconds: int64(length.Seconds())},
+	})
+	return err
 }
 
 // Close ends everything at once.
 func (d *Deployment) Close() {
-	for name := range d.nodes {
-		d.KillGateway(name)
+	close(d.closed)
+	for _, n := range d.all() {
+		d.KillGateway(n.Host())
 	}
 	if d.servers != nil {
 		d.servers.close()
--- a/internal/dev/promises.go
+++ b/internal/dev/promises.go
@@ -121,6 +121,30 @@
 	return p
 }
 
+// checkCalm verifies that no request fails while there are only planned stops. Refusals that the load itself causes do
+// not count.
+func checkCalm(records []Record, f failures) Promise {
+	p := Promise{Name: "a planned stop cuts off no request"}
+	if f.StopErr != nil {
+		p.violate(f.StopErr.Error())
+	}
+	for _, r := range records {
+		if !f.Calm.contains(r.Start) || !f.Calm.contains(r.Start.Add(r.Took)) {
+			continue
+		}
+		p.Checked++
+		if r.Result != ResultAnswered && !isOverload(r) {
+			p.violate(r.Service + " request " + r.Identity + " at " + r.Gateway + " ended as " + r.Result.String() + " (" + r.Kind + ")")
+		}
+	}
+	return p
+}
+
+// isOverload reports whether the load itself explains the refusal.
+func isOverload(r Record) bool {
+	return r.Kind == "queue-full" || r.Kind == "deadline-cannot-be-met" || r.Kind == "backend-shed-load"
+}
+
 // sortPromises puts violated promises first.
 func sortPromises(promises []Promise) {
 	slices.SortStableFunc(promises, func(a, b Promise) int { return cmp.Compare(b.Violations, a.Violations) })
--- a/internal/dev/record.go
+++ b/internal/dev/record.go
@@ -37,6 +37,8 @@
 	Status     int
 	// Kind is the problem kind of a refusal.
 	Kind string
+	// Gateway is the address that the balancer chose.
+	Gateway string
 	// Foreign is true if the answer belongs to another request.
 	Foreign bool
 }
--- a/internal/dev/report.go
+++ b/internal/dev/report.go
@@ -57,7 +57,7 @@
 	}
 	r.churn()
 	r.Unavailable = unavailableTime(availabilityRecords(records, d.keyedServices()), d.keyedServices(), start, start.Add(duration))
-	r.Promises = d.promises(records, executions)
+	r.Promises = append(d.promises(records, executions), checkLeaving(executions, f.Leaves, leaveBound), checkCalm(records, f))
 	return r
 }
 
@@ -134,6 +134,7 @@
 	for _, i := range r.Imbalance {
 		fmt.Fprintf(table, "  imbalance of %s\tmean %.2f, worst second %.2f\n", i.Service, i.Mean, i.Worst)
 	}
+	fmt.Fprintf(table, "  planned stops\tgateway %s, backend server %s\n", r.Failures.Stopped, leaving(r.Failures))
 	fmt.Fprintf(table, "  lost gateway\t%s\n", r.Failures.Gateway)
 	fmt.Fprintf(table, "  lost backend server\t%s\n", r.Failures.Server)
 	fmt.Fprintf(table, "  churn\t%d partitions moved, least possible %d\n", r.Moved, r.LeastMoved)
@@ -145,6 +146,13 @@
 	_ = table.Flush()
 }
 
+func leaving(f failures) string {
+	if len(f.Leaves) == 0 {
+		return ""
+	}
+	return f.Leaves[0].Server
+}
+
 func (r *Report) writePromises(w io.Writer) {
 	sortPromises(r.Promises)
 	for _, p := range r.Promises {
--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -40,7 +40,7 @@
 	defer cancel()
 	start := time.Now()
 	lost := make(chan failures, 1)
-	go func() { lost <- d.inject(ctx, f.Duration) }()
+	go func() { lost <- d.inject(ctx, start, f.Duration) }()
 	d.load(ctx, f)
 	return newReport(d, <-lost, start, f.Duration)
 }
--- a/internal/dev/scenario.go
+++ b/internal/dev/scenario.go
@@ -8,67 +8,79 @@
 )
 
 const (
-	// balancerLag is the time after which the balancer stops sending callers to a lost gateway.
-	balancerLag = 500 * time.Millisecond
-	// loseGatewayAt and loseServerAt are parts of the duration of a run.
-	loseGatewayAt = 0.35
-	loseServerAt  = 0.65
+	// The steps of a run, as parts of its duration.
+	announceAt    = 0.05
+	stopGatewayAt = 0.10
+	loseGatewayAt = 0.45
+	loseServerAt  = 0.70
+	// stopLength is the announced length of the backend server's planned stop.
+	stopLength = 10 * time.Minute
+	// stopTimeout bounds the planned stop of the gateway.
+	stopTimeout = 10 * time.Second
 )
 
-// failures are the losses of one run.
+// failures are the planned stops and losses of one run.
 type failures struct {
-	Gateway   string
-	GatewayAt time.Time
-	Server    string
-	ServerAt  time.Time
-	before    *ownership
-	after     *ownership
+	Leaves  []LeaveCheck
+	Stopped string
+	// Calm is the time of the run in which there were only planned stops.
+	Calm    interval
+	StopErr error
+	Gateway string
+	Server  string
+	before  *ownership
+	after   *ownership
 }
 
-// inject loses the holder of the first cell, which is also a home, and later freezes a backend server for good.
-func (d *Deployment) inject(ctx context.Context, duration time.Duration) failures {
-	f := failures{}
-	if !wait(ctx, time.Duration(float64(duration)*loseGatewayAt)) {
-		return f
+type interval struct {
+	from, to time.Time
+}
+
+func (i interval) contains(t time.Time) bool { return !t.Before(i.from) && t.Before(i.to) }
+
+// inject announces the stop of a backend server, stops a gateway as planned, then loses the holder of the first cell,
+// which is also a home, and freezes a backend server for good.
+func (d *Deployment) inject(ctx context.Context, start time.Time, duration time.Duration) failures {
+	f := failures{Calm: interval{from: start}}
+	at := func(share float64) bool { return waitUntil(ctx, start.Add(time.Duration(float64(duration)*share))) }
+	at(announceAt)
+	leaving := d.keyedServer(0)
+	f.Leaves = append(f.Leaves, LeaveCheck{Server: leaving, At: time.Now()})
+	f.StopErr = d.AnnounceStop(ctx, leaving, stopLength)
+	at(stopGatewayAt)
+	f.Stopped = d.holderOf(d.Config.Cells()[1])
+	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancel()
+	if err := d.StopGateway(stopCtx, f.Stopped); err != nil {
+		f.StopErr = err
 	}
+	at(loseGatewayAt)
+	f.Calm.to = time.Now()
 	f.before = d.ownership()
 	f.Gateway = d.holderOf(d.Config.Cells()[0])
-	f.GatewayAt = time.Now()
-	d.loseGateway(f.Gateway)
-	if !wait(ctx, time.Duration(float64(duration)*(loseServerAt-loseGatewayAt))) {
-		return f
-	}
-	f.Server = d.keyedServer()
-	f.ServerAt = time.Now()
+	d.KillGateway(f.Gateway)
+	at(loseServerAt)
+	f.Server = d.keyedServer(-1)
 	d.servers.byName[f.Server].Freeze()
 	<-ctx.Done()
 	f.after = d.ownership()
 	return f
 }
 
-// keyedServer returns the last server of the first service that is divided by key.
-func (d *Deployment) keyedServer() string {
+// keyedServer returns a server of the first service that is divided by key: the first one, or the last for -1.
+func (d *Deployment) keyedServer(which int) string {
 	for _, s := range d.Config.Services {
 		if s.Keyed {
-			return s.Servers[len(s.Servers)-1].Name
+			return s.Servers[(which+len(s.Servers))%len(s.Servers)].Name
 		}
 	}
-	return d.Config.Services[0].Servers[0].Name
-}
-
-func (d *Deployment) loseGateway(name string) {
-	host, ok := d.Config.Host(name)
-	if !ok {
-		return
-	}
-	d.KillGateway(name)
-	time.AfterFunc(balancerLag, func() { d.Balancer.Remove(host.CallerAddress) })
+	return ""
 }
 
 // holderOf returns the holder of a cell, as its members know it.
 func (d *Deployment) holderOf(cellName string) string {
 	for _, host := range d.Config.CellHosts(cellName) {
-		if n, ok := d.nodes[host.Name]; ok {
+		if n, ok := d.Node(host.Name); ok {
 			if s := n.Gateway().View().Snapshot; s.Self {
 				return host.Name
 			}
@@ -94,7 +106,7 @@
 
 func (d *Deployment) snapshotOf(cellName string) *cell.Snapshot {
 	for _, host := range d.Config.CellHosts(cellName) {
-		if n, ok := d.nodes[host.Name]; ok {
+		if n, ok := d.Node(host.Name); ok {
 			if view := n.Gateway().View(); view != nil {
 				return view.Snapshot
 			}
@@ -131,8 +143,9 @@
 	return moved, least
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
+// waitUntil waits and returns false if ctx ended first.
+func waitUntil(ctx context.Context, t time.Time) bool {
+	timer := time.NewTimer(time.Until(t))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,8 +76,12 @@
 // View returns the current view, or nil.
 func (g *Gateway) View() *View { return g.view.Load() }
 
-// Ready reports whether the balancer should send callers here.
-func (g *Gateway) Ready() bool { return g.view.Load() != nil && !g.draining.Load() }
+// Ready reports whether the balancer should send callers here. A gateway is not ready while its host's planned stop
+// lasts.
+func (g *Gateway) Ready() bool {
+	v := g.view.Load()
+	return v != nil && !g.draining.Load() && !v.stopping(time.Now())
+}
 
 // Drain makes the gateway not ready. Requests are still served until the listener closes.
 func (g *Gateway) Drain() { g.draining.Store(true) }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/sapphireplank/sapphireplank/internal/balance"
 	"github.com/sapphireplank/sapphireplank/internal/cell"
 	"github.com/sapphireplank/sapphireplank/internal/config"
@@ -59,6 +61,17 @@
 	return &next
 }
 
+// stopping reports whether the planned stop of the gateway's own host lasts at now.
+func (v *View) stopping(now time.Time) bool {
+	for _, stop := range v.Config.Stops {
+		end := stop.At.Add(time.Duration(stop.ForSeconds) * time.Second)
+		if stop.Target == v.Self && !now.Before(stop.At) && now.Before(end) {
+			return true
+		}
+	}
+	return false
+}
+
 // PartitionOf returns the partition of a key and the cell that owns it, or false for a service that is not divided
 // by key.
 func (v *View) PartitionOf(service, key string) (keyspace.Partition, string, bool) {
