gateway: reuse streams between gateways

Cause: a stream per request took three frames and two goroutines per side, and each answer allocated a 32 KB chunk. Change: streams carry one request after the other; a peek for the next byte detects cancellation; answers are framed in pooled buffers; short answers take one write.

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -90,7 +90,7 @@
 	}
 }
 
-func newPair(t *testing.T, homes fakeHomes) *pair {
+func newPair(t testing.TB, homes fakeHomes) *pair {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"net/http"
 	"time"
@@ -10,28 +9,35 @@
 
 	"github.com/sapphireplank/sapphireplank/internal/backend"
 	"github.com/sapphireplank/sapphireplank/internal/outcome"
+	"github.com/sapphireplank/sapphireplank/internal/peer"
 	"github.com/sapphireplank/sapphireplank/internal/wire"
 )
 
 // forward sends the call to another gateway and reads the head of the answer.
 func (g *Gateway) forward(ctx context.Context, v *View, c *call, t target) (*backend.Response, *outcome.Problem) {
-	stream, err := g.options.Peers.Open(ctx, v.hosts[t.host].PeerAddress)
+	conn, err := g.options.Peers.Acquire(ctx, v.hosts[t.host].PeerAddress)
 	if err != nil {
 		g.lostHost(c, t)
 		return nil, refusal(outcome.KindNoHome, "the gateway "+t.host+" cannot be reached")
 	}
-	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
-	head, reader, problem := exchange(stream, c, t)
+	stop := context.AfterFunc(ctx, func() { _ = conn.Stream.SetDeadline(time.Unix(1, 0)) })
+	head, problem := exchange(conn, c, t)
 	if problem != nil {
-		stop()
-		_ = stream.Close()
 		return nil, g.hopProblem(ctx, c, t, problem)
 	}
+	if head.Problem != nil {
+		if stop() {
+			conn.Release()
+		} else {
+			conn.Discard()
+		}
+		return nil, g.hopProblem(ctx, c, t, fromWireProblem(head.Problem))
+	}
 	c.load = head.LoadPercent
 	if head.Home != "" {
 		g.learn(c, head.Home)
 	}
-	body := &hopBody{call: c.request.ID, stream: stream, reader: reader, stop: stop}
+	body := &hopBody{call: c.request.ID, conn: conn, stop: stop}
 	return &backend.Response{
 		Status:        int(head.Status),
 		Header:        fromWireHeader(head.Headers),
@@ -40,29 +46,30 @@
 	}, nil
 }
 
-// exchange writes the request and reads the head of the answer.
-func exchange(stream *yamux.Stream, c *call, t target) (*wire.ResponseHead, *bufio.Reader, *outcome.Problem) {
-	if err := writeRequest(stream, c, t); err != nil {
-		return nil, nil, brokenHop()
+// exchange writes the request and reads the head of the answer. The stream is closed after a failure.
+func exchange(conn *peer.Conn, c *call, t target) (*wire.ResponseHead, *outcome.Problem) {
+	if err := writeRequest(conn.Stream, c, t); err != nil {
+		conn.Discard()
+		return nil, brokenHop()
 	}
-	reader := bufio.NewReader(stream)
 	head := &wire.ResponseHead{}
-	if err := wire.ReadMessage(reader, wire.FrameResponseHead, head); err != nil {
-		return nil, nil, brokenHop()
+	if err := wire.ReadMessage(conn.Reader, wire.FrameResponseHead, head); err != nil {
+		conn.Discard()
+		return nil, brokenHop()
 	}
 	if string(head.RequestId) != string(c.request.ID[:]) {
-		return nil, nil, outcome.New(outcome.KindBadAnswer, http.StatusBadGateway, outcome.Unknown,
+		conn.Discard()
+		return nil, outcome.New(outcome.KindBadAnswer, http.StatusBadGateway, outcome.Unknown,
 			"a gateway answered another request; the outcome is unknown")
 	}
-	if head.Problem != nil {
-		return nil, nil, fromWireProblem(head.Problem)
-	}
-	return head, reader, nil
+	return head, nil
 }
 
 // writeRequest sends head, body and end with as few writes as possible.
 func writeRequest(stream *yamux.Stream, c *call, t target) error {
-	buffer, err := wire.AppendMessage(nil, wire.FrameRequestHead, toWireHead(c, t))
+	scratch := buffers.Get().(*[]byte)
+	defer buffers.Put(scratch)
+	buffer, err := wire.AppendMessage((*scratch)[:0], wire.FrameRequestHead, toWireHead(c, t))
 	if err != nil {
 		return err
 	}
@@ -75,6 +82,7 @@
 	if buffer, err = wire.AppendMessage(buffer, wire.FrameEnd, end); err != nil {
 		return err
 	}
+	*scratch = keepSmall(buffer)
 	_, err = stream.Write(buffer)
 	return err
 }
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -3,8 +3,8 @@
 import (
 	"cmp"
 	"context"
-	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
@@ -16,22 +16,32 @@
 )
 
 // HandleRequest serves one request that another gateway forwarded.
-func (g *Gateway) HandleRequest(head []byte, stream *peer.Stream) {
-	g.active.Add(1)
-	defer g.active.Add(-1)
+func (g *Gateway) HandleRequest(head []byte, stream *peer.Stream) bool {
 	c, ok := g.readHop(head, stream)
 	if !ok {
-		return
+		return false
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), c.request.Deadline)
 	defer cancel()
-	go watchCancel(stream, cancel)
+	watcher := watchCancel(stream, cancel)
+	if !g.serveHop(ctx, c, stream) {
+		// An expired deadline ends the watcher; the sender sees the end of the stream.
+		_ = stream.Conn.SetReadDeadline(time.Unix(1, 0))
+		<-watcher
+		return false
+	}
+	return <-watcher
+}
+
+// serveHop executes the request and sends the answer. It returns false if the answer is not complete.
+func (g *Gateway) serveHop(ctx context.Context, c *call, stream *peer.Stream) bool {
+	g.active.Add(1)
+	defer g.active.Add(-1)
 	answer, problem := g.handleHop(ctx, c)
 	if problem != nil {
-		g.answerProblem(stream, c, problem)
-		return
+		return g.answerProblem(stream, c, problem)
 	}
-	g.answerHop(stream, c, answer)
+	return g.answerHop(stream, c, answer)
 }
 
 // readHop reads head and body. A request that does not arrive whole is dropped; it has not run, and the
@@ -87,10 +97,18 @@
 	return nil
 }
 
-// watchCancel cancels the request when the sender closes the stream early or the session breaks.
-func watchCancel(stream *peer.Stream, cancel context.CancelFunc) {
-	_, _ = stream.Reader.ReadByte()
-	cancel()
+// watchCancel cancels the request when the sender closes the stream early or the session breaks. The channel tells,
+// once, whether the next request has begun to arrive instead. Until then nobody else may read from the stream.
+func watchCancel(stream *peer.Stream, cancel context.CancelFunc) <-chan bool {
+	done := make(chan bool, 1)
+	go func() {
+		_, err := stream.Reader.Peek(1)
+		if err != nil {
+			cancel()
+		}
+		done <- err == nil
+	}()
+	return done
 }
 
 func (g *Gateway) handleHop(ctx context.Context, c *call) (*backend.Response, *outcome.Problem) {
@@ -107,14 +125,14 @@
 	return g.attempt(ctx, v, c)
 }
 
-func (g *Gateway) answerProblem(stream *peer.Stream, c *call, p *outcome.Problem) {
+func (g *Gateway) answerProblem(stream *peer.Stream, c *call, p *outcome.Problem) bool {
 	head := &wire.ResponseHead{RequestId: c.request.ID[:], Problem: toWireProblem(p)}
 	// A failed write leaves the sender with an unknown outcome, which is always safe.
-	_ = wire.WriteMessage(stream.Conn, wire.FrameResponseHead, head)
+	return wire.WriteMessage(stream.Conn, wire.FrameResponseHead, head) == nil
 }
 
 // answerHop sends the answer. Without the End frame the sender takes it as cut.
-func (g *Gateway) answerHop(stream *peer.Stream, c *call, answer *backend.Response) {
+func (g *Gateway) answerHop(stream *peer.Stream, c *call, answer *backend.Response) bool {
 	defer answer.Body.Close()
 	head := &wire.ResponseHead{
 		RequestId:     c.request.ID[:],
@@ -124,39 +142,14 @@
 		ContentLength: answer.ContentLength,
 		LoadPercent:   c.load,
 	}
-	buffer, err := wire.AppendMessage(nil, wire.FrameResponseHead, head)
-	if err != nil {
-		return
-	}
-	total, err := g.copyHop(stream, answer.Body, buffer)
+	scratch := buffers.Get().(*[]byte)
+	defer buffers.Put(scratch)
+	buffer, err := wire.AppendMessage((*scratch)[:0], wire.FrameResponseHead, head)
 	if err != nil {
-		return
-	}
-	end := &wire.End{RequestId: c.request.ID[:], TotalBytes: total}
-	_ = wire.WriteMessage(stream.Conn, wire.FrameEnd, end)
-}
-
-// copyHop writes the body in frames. The head travels with the first of them.
-func (g *Gateway) copyHop(stream *peer.Stream, body io.Reader, buffer []byte) (int64, error) {
-	chunk := make([]byte, wire.MaxBodyFrameBytes)
-	var total int64
-	for {
-		n, err := body.Read(chunk)
-		if n > 0 {
-			buffer = wire.AppendFrame(buffer, wire.FrameBody, chunk[:n])
-			total += int64(n)
-		}
-		if len(buffer) > 0 {
-			if _, writeErr := stream.Conn.Write(buffer); writeErr != nil {
-				return total, writeErr
-			}
-			buffer = buffer[:0]
-		}
-		if err == io.EOF {
-			return total, nil
-		}
-		if err != nil {
-			return total, err
-		}
+		return false
 	}
+	w := &hopWriter{conn: stream.Conn, id: c.request.ID[:], buffer: buffer}
+	err = w.send(answer.Body)
+	*scratch = keepSmall(w.buffer)
+	return err == nil
 }
--- a/internal/gateway/hopbody.go
+++ b/internal/gateway/hopbody.go
@@ -1,14 +1,13 @@
 package gateway
 
 import (
-	"bufio"
 	"io"
 
 	"github.com/cockroachdb/errors"
-	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sapphireplank/sapphireplank/internal/backend"
+	"github.com/sapphireplank/sapphireplank/internal/peer"
 	"github.com/sapphireplank/sapphireplank/internal/wire"
 )
 
@@ -18,13 +17,12 @@
 // hopBody reads the body of an answer from another gateway. It returns io.EOF only after an End that carries
 // the id of the request and the number of bytes read.
 type hopBody struct {
-	call   backend.RequestID
-	stream *yamux.Stream
-	reader *bufio.Reader
-	stop   func() bool
-	frame  []byte
-	total  int64
-	err    error
+	call  backend.RequestID
+	conn  *peer.Conn
+	stop  func() bool
+	frame []byte
+	total int64
+	err   error
 }
 
 // Read implements io.Reader.
@@ -42,7 +40,7 @@
 }
 
 func (b *hopBody) next() {
-	frameType, payload, err := wire.ReadFrame(b.reader, nil)
+	frameType, payload, err := wire.ReadFrame(b.conn.Reader, nil)
 	switch {
 	case err != nil:
 		b.err = errors.CombineErrors(errCutAnswer, err)
@@ -66,8 +64,17 @@
 	return io.EOF
 }
 
-// Close ends the stream. The far side takes an early end as a cancellation.
+// Close gives the stream back after a whole answer, and ends it otherwise. The far side takes an early end as a
+// cancellation.
 func (b *hopBody) Close() error {
-	b.stop()
-	return b.stream.Close()
+	if b.conn == nil {
+		return nil
+	}
+	if b.stop() && b.err == io.EOF {
+		b.conn.Release()
+	} else {
+		b.conn.Discard()
+	}
+	b.conn = nil
+	return nil
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bufio"
 	"context"
 	"sync"
 	"time"
@@ -30,6 +31,8 @@
 	mu      sync.Mutex
 	session *yamux.Session
 	backoff backoff
+	// idle holds streams of the session that wait for the next request.
+	idle []*Conn
 }
 
 func newLink(address string, dial DialFunc) *link {
@@ -44,6 +47,47 @@
 	return l
 }
 
+// acquire returns an idle stream or opens one.
+func (l *link) acquire(ctx context.Context) (*Conn, error) {
+	session, err := l.connect(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if c := l.takeIdle(session); c != nil {
+		return c, nil
+	}
+	stream, err := session.OpenStream()
+	if err != nil {
+		l.forget(session)
+		return nil, errors.Mark(errors.Wrapf(err, "open stream to %s", l.address), ErrConnect)
+	}
+	return &Conn{Stream: stream, Reader: bufio.NewReaderSize(stream, readBufferBytes), link: l, session: session}, nil
+}
+
+func (l *link) takeIdle(session *yamux.Session) *Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.idle) > 0 {
+		c := l.idle[len(l.idle)-1]
+		l.idle = l.idle[:len(l.idle)-1]
+		if c.session == session {
+			return c
+		}
+	}
+	return nil
+}
+
+// keep stores a stream for the next request and returns false if there is no use for it.
+func (l *link) keep(c *Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.session != l.session || c.session.IsClosed() || len(l.idle) >= maxIdleStreams {
+		return false
+	}
+	l.idle = append(l.idle, c)
+	return true
+}
+
 func (l *link) open(ctx context.Context) (*yamux.Stream, error) {
 	session, err := l.connect(ctx)
 	if err != nil {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -43,6 +43,16 @@
 	return l.open(ctx)
 }
 
+// Acquire returns a stream for one request to the gateway at address, a used one if there is one. After an error
+// nothing has been sent.
+func (p *Pool) Acquire(ctx context.Context, address string) (*Conn, error) {
+	l, err := p.link(address)
+	if err != nil {
+		return nil, err
+	}
+	return l.acquire(ctx)
+}
+
 // Send queues one control payload for the gateway at address. It never blocks.
 func (p *Pool) Send(address string, payload []byte) error {
 	l, err := p.link(address)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -15,9 +15,9 @@
 
 // Handler takes what other gateways send.
 type Handler interface {
-	// HandleRequest serves one request stream, whose head has been read. It returns when the answer is sent;
-	// the stream is closed afterwards.
-	HandleRequest(head []byte, stream *Stream)
+	// HandleRequest serves one request, whose head has been read. It returns true once the next request can be
+	// read from the stream, and false if the stream must be closed.
+	HandleRequest(head []byte, stream *Stream) bool
 	// HandleControl takes one control payload. It must not block and may keep the payload.
 	HandleControl(payload []byte)
 	// HandleQuery answers one query of another gateway.
@@ -113,8 +113,8 @@
 func (s *Server) serveStream(conn *yamux.Stream) {
 	defer s.wg.Done()
 	defer conn.Close()
-	// The handler may still read for a cancellation when it returns, so the reader is not reused.
 	reader := bufio.NewReaderSize(conn, readBufferBytes)
+	stream := &Stream{Reader: reader, Conn: conn}
 	for {
 		frameType, payload, err := wire.ReadFrame(reader, nil)
 		if err != nil {
@@ -128,8 +128,9 @@
 			_ = wire.WriteFrame(conn, wire.FrameQuery, s.handler.HandleQuery(payload))
 			return
 		case wire.FrameRequestHead:
-			s.handler.HandleRequest(payload, &Stream{Reader: reader, Conn: conn})
-			return
+			if !s.handler.HandleRequest(payload, stream) {
+				return
+			}
 		default:
 			return
 		}
--- a/internal/peer/settings.go
+++ b/internal/peer/settings.go
@@ -20,6 +20,8 @@
 	keepAliveInterval = 2 * time.Second
 	// acceptBacklog bounds the streams that a peer has opened and this gateway has not accepted yet.
 	acceptBacklog = 4096
+	// maxIdleStreams bounds the streams of one session that wait for the next request.
+	maxIdleStreams = 128
 	// streamWindowBytes bounds the unread bytes of one stream.
 	streamWindowBytes = 256 << 10
 )
