--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -22,8 +22,8 @@
 	Server string
 	Up     bool
 	// GrantEnd is the monotonic time at which the last grant, or the last deadline of a dispatched request, on the
-	// server expires. The home must not set grants or dispatch to the server after it reported it down, until the
-	// snapshot shows partitions of the server that are not releasing.
+	// server expires. From a down report on, the home must not set grants or dispatch to the server under a token
+	// that it had seen before; it may under greater ones.
 	GrantEnd time.Duration
 }
 
