--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -112,8 +112,8 @@
 		{func(c *Config) { c.Services[0].Idempotent[0].Path = "/**" }, HazardIdempotent, false},
 		{func(c *Config) { c.Services[0].Idempotent[0].Path = "/statu?/x" }, HazardIdempotent, false},
 		{func(c *Config) { c.Zones[0].Lost = true }, HazardLostZone, false},
-		{func(c *Config) { c.Hosts = c.Hosts[1:] }, HazardHostRemoved, false},
-		{func(c *Config) { c.Hosts[0].Cell = "a-c02" }, HazardHostMoved, false},
+		{func(c *Config) { c.Hosts = append(c.Hosts[1:], Host{Name: "n", Cell: "a-c01"}) }, HazardHostRemoved, false},
+		{func(c *Config) { c.Hosts[0].PeerAddress = "10.0.0.9:1" }, HazardHostMoved, false},
 		{func(c *Config) { c.Services[0].Servers[0].Address = "10.0.1.9:1" }, HazardServerMoved, false},
 		{func(c *Config) { c.Services[0].Servers[0].Name = "renamed" }, HazardServerMoved, false},
 		{func(c *Config) { c.Services[0].Servers[0].Cell = "a-c02" }, HazardServerMoved, false},
@@ -141,10 +141,18 @@
 		}
 	}
 	lost, silent := small(), func(Host) bool { return false }
-	lost.Zones[0].Lost, lost.Hosts = true, lost.Hosts[1:]
+	lost.Zones[0].Lost = true
 	if hazards := small().Unsafe(lost, silent); len(hazards) > 0 {
 		t.Errorf("zone without a host that answers: %v", hazards)
 	}
+	removed := small()
+	removed.Hosts = removed.Hosts[1:]
+	if hazards := small().Unsafe(removed, silent); len(hazards) != 1 || hazards[0].Kind != HazardCellRemoved {
+		t.Errorf("cell removed: %v", hazards)
+	}
+	if hazards := lost.Unsafe(removed, silent); len(hazards) != 1 || hazards[0].Kind != HazardZoneReturns {
+		t.Errorf("cell of a lost zone removed: %v", hazards)
+	}
 	if hazards := lost.Unsafe(small(), silent); len(hazards) != 1 || hazards[0].Kind != HazardZoneReturns {
 		t.Errorf("zone returns: %v", hazards)
 	}
--- a/internal/config/hazard.go
+++ b/internal/config/hazard.go
@@ -32,6 +32,8 @@
 	HazardZoneReturns HazardKind = "lost-zone-returns"
 	// HazardHostRemoved is a host that is removed while it still answers.
 	HazardHostRemoved HazardKind = "removed-host-answers"
+	// HazardCellRemoved is a cell that loses all its hosts although its zone is not declared lost.
+	HazardCellRemoved HazardKind = "cell-removed"
 	// HazardHostMoved is a host that changes its cell, zone or peer address.
 	HazardHostMoved HazardKind = "host-moved"
 	// HazardServerMoved is a backend server that gets another address or cell, or an address that gets another
--- a/internal/config/safety.go
+++ b/internal/config/safety.go
@@ -16,6 +16,7 @@
 	}
 	s.zones()
 	s.hosts()
+	s.cells()
 	for i := range next.Services {
 		if before, ok := c.Service(next.Services[i].Name); ok {
 			s.service(before, &next.Services[i])
@@ -74,6 +75,19 @@
 	}
 }
 
+// cells finds cells whose partitions would move although nobody is left to confirm their release. Hosts that do not
+// answer may be isolated and serve their keys.
+func (s *safety) cells() {
+	for _, cell := range s.before.Cells() {
+		hosts := s.before.CellHosts(cell)
+		if len(s.after.CellHosts(cell)) > 0 || s.before.isLost(hosts[0].Zone) {
+			continue
+		}
+		s.add(HazardCellRemoved, "cell "+cell, "its partitions would move although no host is left to confirm their release",
+			"remove its backend servers first, and its hosts in a later revision")
+	}
+}
+
 func (s *safety) service(before, after *Service) {
 	section := "service " + after.Name
 	if before.Keyed != after.Keyed {
--- a/internal/questionnaire/check.go
+++ b/internal/questionnaire/check.go
@@ -31,12 +31,19 @@
 	s.Idempotent = slices.Compact(s.Idempotent)
 }
 
-// check adds the faults that concern several sections.
-func check(a *Answers, faults *config.Faults) {
-	c := &checker{answers: a, faults: faults, zones: make(map[string]bool)}
+// check adds the faults that concern several sections. It leaves out what depends on a section with a fault, so that
+// one mistake gives one fault. A misnamed section may be any of those that seem to be missing.
+func check(a *Answers, faults *config.Faults, misnamed bool) {
+	c := &checker{answers: a, faults: faults, misnamed: misnamed, zones: make(map[string]bool), broken: make(map[string]bool)}
+	for _, fault := range *faults {
+		c.broken[fault.Section] = true
+		kind, _, _ := strings.Cut(fault.Section, " ")
+		c.regionBroken = c.regionBroken || kind == "region"
+	}
 	c.checkZones()
 	c.checkHosts()
 	c.checkServers()
+	c.checkConnections()
 	c.checkAddresses()
 	if len(*faults) == 0 {
 		c.checkLosses()
@@ -44,18 +51,26 @@
 }
 
 type checker struct {
-	answers *Answers
-	faults  *config.Faults
-	zones   map[string]bool
+	answers  *Answers
+	faults   *config.Faults
+	misnamed bool
+	// zones are the zones of all regions. They are not complete if regionBroken is true.
+	zones        map[string]bool
+	regionBroken bool
+	// broken holds the sections that had faults before.
+	broken map[string]bool
 }
 
 func (c *checker) checkZones() {
 	for _, zone := range c.answers.Zones {
-		if c.zones[zone.Name] {
+		if c.zones[zone.Name] && !c.regionBroken {
 			c.faults.Add("region "+zone.Region, "zones", zone.Name, "belongs to two regions", "name it in one of them")
 		}
 		c.zones[zone.Name] = true
 	}
+	if c.broken["losses"] || c.regionBroken || c.misnamed || len(c.answers.Zones) == 0 {
+		return
+	}
 	for _, zone := range c.answers.LostZones {
 		if !c.zones[zone] {
 			c.faults.Add("losses", "lost-zones", zone, "is in no [region] section", "name a zone of a region")
@@ -72,6 +87,9 @@
 	for _, hosts := range c.answers.Hosts {
 		withHosts[hosts.Zone] = true
 		c.knownZone(hosts.sectionOrigin, hosts.Zone)
+		if c.broken[hosts.sectionOrigin] {
+			continue
+		}
 		c.except(hosts.sectionOrigin, hosts.Except, hosts.Count, hosts.name)
 		if hosts.Cells > hosts.Count {
 			c.faults.Add(hosts.sectionOrigin, "cells", strconv.Itoa(hosts.Cells),
@@ -84,7 +102,7 @@
 		}
 	}
 	for _, zone := range c.answers.Zones {
-		if !withHosts[zone.Name] {
+		if !withHosts[zone.Name] && !c.misnamed {
 			c.faults.Add("hosts "+zone.Name, "", "", "is missing",
 				"add the section, or remove the zone from [region "+zone.Region+"]")
 		}
@@ -92,7 +110,7 @@
 }
 
 func (c *checker) knownZone(section, zone string) {
-	if !c.zones[zone] {
+	if !c.zones[zone] && !c.regionBroken && !c.misnamed {
 		c.faults.Add(section, "", zone, "is in no [region] section", "add the zone to a region")
 	}
 }
@@ -127,8 +145,10 @@
 	}
 	for _, servers := range c.answers.Servers {
 		c.knownZone(servers.sectionOrigin, servers.Zone)
-		c.except(servers.sectionOrigin, servers.Except, servers.Count, servers.name)
-		if _, ok := services[servers.Service]; !ok {
+		if !c.broken[servers.sectionOrigin] {
+			c.except(servers.sectionOrigin, servers.Except, servers.Count, servers.name)
+		}
+		if _, ok := services[servers.Service]; !ok && !c.misnamed {
 			c.faults.Add(servers.sectionOrigin, "", servers.Service, "has no [service] section",
 				"add [service "+servers.Service+"]")
 			continue
@@ -136,13 +156,16 @@
 		services[servers.Service]++
 	}
 	for _, service := range c.answers.Services {
-		if services[service.Name] == 0 {
+		if services[service.Name] == 0 && !c.misnamed {
 			c.faults.Add("service "+service.Name, "", "", "has no backend server",
 				"add [servers "+service.Name+" ZONE] for at least one zone")
 		}
 	}
+}
+
+func (c *checker) checkConnections() {
 	for _, service := range c.answers.Services {
-		if service.Connections < service.Slots+config.SpareConnections {
+		if !c.broken["service "+service.Name] && service.Connections < service.Slots+config.SpareConnections {
 			c.faults.Add("service "+service.Name, "connections", strconv.Itoa(service.Connections),
 				fmt.Sprintf("is less than the %d slots and %d spare connections", service.Slots, config.SpareConnections),
 				fmt.Sprintf("allow at least %d or lower the slots", service.Slots+config.SpareConnections))
--- a/internal/questionnaire/check_addresses.go
+++ b/internal/questionnaire/check_addresses.go
@@ -16,6 +16,9 @@
 }
 
 func (c *checker) addresses(used map[string]string, section, key string, pattern AddressPattern, count int) {
+	if c.broken[section] {
+		return
+	}
 	for i := range count {
 		address, err := pattern.at(i)
 		if err != nil {
--- a/internal/questionnaire/parse.go
+++ b/internal/questionnaire/parse.go
@@ -27,10 +27,8 @@
 		p.section(raw)
 	}
 	p.requireSections()
-	if len(faults) == 0 {
-		p.answers.sort()
-		check(p.answers, &faults)
-	}
+	p.answers.sort()
+	check(p.answers, &faults, p.misnamed > 0)
 	if len(faults) == 0 {
 		_, err := Generate(p.answers)
 		return p.answers, err
--- a/internal/questionnaire/questionnaire_test.go
+++ b/internal/questionnaire/questionnaire_test.go
@@ -43,12 +43,13 @@
 // Guards against a check that stops at the first fault.
 func TestAllFaultsAreNamedAtOnce(t *testing.T) {
 	text := string(questionnaire.Template)
-	for _, edit := range [][2]string{{"name = my-team", "name = My"}, {"slots = 3", "slots = x"}, {"count = 2", "count = 0"}, {"tolerated =", "tolerate ="}} {
+	for _, edit := range [][2]string{{"name = my-team", "name = My"}, {"slots = 3", "slots = x"}, {"count = 2", "count = 0"}, {"tolerated =", "tolerate ="},
+		{"[servers lookup zone-b]", "[servers look zone-b]"}, {"caller = 10.0.1.1:7001", "caller = 10.0.1.1:7000"}} {
 		text = strings.Replace(text, edit[0], edit[1], 1)
 	}
 	_, err := questionnaire.Parse([]byte(text))
 	var faults config.Faults
-	if !errors.As(err, &faults) || len(faults) != 5 {
+	if !errors.As(err, &faults) || len(faults) != 7 {
 		t.Errorf("got %v", err)
 	}
 }
