--- a/internal/questionnaire/questionnaire_test.go
+++ b/internal/questionnaire/questionnaire_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"flag"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 
@@ -162,3 +163,28 @@
 		}
 	}
 }
+
+// Guards against a questionnaire that stops the tool, that yields an invalid configuration, or whose faults have no
+// remedy.
+func FuzzParse(f *testing.F) {
+	f.Add(questionnaire.Template)
+	for _, bad := range questionnairetest.All {
+		if text := bad.Text(); len(text) < 1<<14 {
+			f.Add(text)
+		}
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		result, err := questionnaire.FromText(text)
+		var faults config.Faults
+		if err == nil {
+			err = result.Config.Validate()
+		} else if !errors.As(err, &faults) || slices.ContainsFunc(faults, func(f config.Fault) bool { return f.Remedy == "" }) {
+			t.Fatalf("error without remedy: %v", err)
+		} else {
+			err = nil
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	})
+}
