--- a/internal/questionnaire/questionnaire_test.go
+++ b/internal/questionnaire/questionnaire_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"flag"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 
@@ -43,12 +44,13 @@
 // Guards against a check that stops at the first fault.
 func TestAllFaultsAreNamedAtOnce(t *testing.T) {
 	text := string(questionnaire.Template)
-	for _, edit := range [][2]string{{"name = my-team", "name = My"}, {"slots = 3", "slots = x"}, {"count = 2", "count = 0"}, {"tolerated =", "tolerate ="}} {
+	for _, edit := range [][2]string{{"name = my-team", "name = My"}, {"slots = 3", "slots = x"}, {"count = 2", "count = 0"}, {"tolerated =", "tolerate ="},
+		{"[servers lookup zone-b]", "[servers look zone-b]"}, {"caller = 10.0.1.1:7001", "caller = 10.0.1.1:7000"}} {
 		text = strings.Replace(text, edit[0], edit[1], 1)
 	}
 	_, err := questionnaire.Parse([]byte(text))
 	var faults config.Faults
-	if !errors.As(err, &faults) || len(faults) != 5 {
+	if !errors.As(err, &faults) || len(faults) != 7 {
 		t.Errorf("got %v", err)
 	}
 }
@@ -161,3 +163,28 @@
 		}
 	}
 }
+
+// Guards against a questionnaire that stops the tool, that yields an invalid configuration, or whose faults have no
+// remedy.
+func FuzzParse(f *testing.F) {
+	f.Add(questionnaire.Template)
+	for _, bad := range questionnairetest.All {
+		if text := bad.Text(); len(text) < 1<<14 {
+			f.Add(text)
+		}
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		result, err := questionnaire.FromText(text)
+		var faults config.Faults
+		if err == nil {
+			err = result.Config.Validate()
+		} else if !errors.As(err, &faults) || slices.ContainsFunc(faults, func(f config.Fault) bool { return f.Remedy == "" }) {
+			t.Fatalf("error without remedy: %v", err)
+		} else {
+			err = nil
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	})
+}
