config: let gateways read configurations of a newer version

Cause: gateways refused unknown members, so that a rolling upgrade that adds a setting would leave old gateways on the old revision. Change: gateways read leniently; whatever is stored again is read strictly.

--- a/internal/config/encode.go
+++ b/internal/config/encode.go
@@ -60,6 +60,16 @@
 // Decode reads the stored form. It refuses unknown members, so that a setting with a misspelt name is not
 // dropped silently. It does not validate.
 func Decode(document []byte) (*Config, error) {
+	return decode(document, true)
+}
+
+// DecodeNewer reads the stored form and ignores members that this version does not know, so that gateways of two
+// versions can run side by side. Its result must not be stored again, because that would drop those members.
+func DecodeNewer(document []byte) (*Config, error) {
+	return decode(document, false)
+}
+
+func decode(document []byte, strict bool) (*Config, error) {
 	if len(document) > MaxDocumentBytes {
 		return nil, errors.Wrapf(ErrTooLarge, "%d bytes", len(document))
 	}
@@ -68,7 +78,9 @@
 		return nil, err
 	}
 	decoder := json.NewDecoder(bytes.NewReader(text))
-	decoder.DisallowUnknownFields()
+	if strict {
+		decoder.DisallowUnknownFields()
+	}
 	c := &Config{}
 	if err := decoder.Decode(c); err != nil {
 		return nil, errors.Wrapf(ErrSyntax, "%s", err.Error())
--- /dev/null
+++ b/internal/config/newer_test.go
@@ -0,0 +1,16 @@
+package config
+
+import "testing"
+
+// Guards against an older gateway that refuses the configuration of a newer version, or that drops its new members when
+// it writes the configuration back.
+func TestUnknownMembersAreReadButNotStored(t *testing.T) {
+	document := []byte(`{"revision":3,"id":"a","team":"t","preference":"","zones":[],"hosts":[],"services":[],"new":1}`)
+	c, err := DecodeNewer(document)
+	if err != nil || c.Revision != 3 {
+		t.Errorf("DecodeNewer: %v, %v", c, err)
+	}
+	if _, err := Decode(document); err == nil {
+		t.Error("Decode accepted an unknown member, which the next Encode would drop")
+	}
+}
--- a/internal/control/configstep.go
+++ b/internal/control/configstep.go
@@ -31,7 +31,7 @@
 }
 
 func (l *Loop) putInForce(document confsync.Document) {
-	c, err := config.Decode(document.Bytes)
+	c, err := config.DecodeNewer(document.Bytes)
 	if err != nil {
 		l.options.Log.WithError(err).Error("Could not decode the configuration in force.")
 		return
@@ -44,7 +44,7 @@
 }
 
 func (l *Loop) hold(document confsync.Document) {
-	c, err := config.Decode(document.Bytes)
+	c, err := config.DecodeNewer(document.Bytes)
 	if err != nil {
 		l.options.Log.WithError(err).Error("Could not decode a configuration.")
 		return
@@ -117,7 +117,7 @@
 }
 
 func decodeDocument(data []byte) (confsync.Document, error) {
-	c, err := config.Decode(data)
+	c, err := config.DecodeNewer(data)
 	if err != nil {
 		return confsync.Document{}, err
 	}
