node: test whole gateways on fake time

Cause: recovery, planned stops and revisions were only run on real time, where a loaded machine decides the result.

--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -18,7 +18,6 @@
 	"github.com/sapphireplank/sapphireplank/internal/gateway"
 	"github.com/sapphireplank/sapphireplank/internal/logging"
 	"github.com/sapphireplank/sapphireplank/internal/node"
-	"github.com/sapphireplank/sapphireplank/internal/peer"
 	"github.com/sapphireplank/sapphireplank/internal/store"
 	"github.com/sapphireplank/sapphireplank/internal/timeline"
 )
@@ -111,7 +110,6 @@
 		AdminAddress:  host.AdminAddress,
 		Seeds:         d.seeds(name),
 		Store:         d.Store,
-		Dial:          peer.DialTCP,
 		Events:        timeline.NewLog(timeline.LogOptions{Host: name, Output: events}),
 		Logs:          d.logs,
 		Observer:      gateway.NoObserver{},
--- a/internal/gatewaycmd/program.go
+++ b/internal/gatewaycmd/program.go
@@ -17,7 +17,6 @@
 	"github.com/sapphireplank/sapphireplank/internal/gateway"
 	"github.com/sapphireplank/sapphireplank/internal/logging"
 	"github.com/sapphireplank/sapphireplank/internal/node"
-	"github.com/sapphireplank/sapphireplank/internal/peer"
 	"github.com/sapphireplank/sapphireplank/internal/store"
 	"github.com/sapphireplank/sapphireplank/internal/timeline"
 	"github.com/sapphireplank/sapphireplank/internal/version"
@@ -149,7 +148,6 @@
 		AdminAddress:  s.AdminAddress,
 		Seeds:         seeds,
 		Store:         store.NewClient(s.Store, &http.Client{}),
-		Dial:          peer.DialTCP,
 		Events:        log,
 		Logs:          logging.New(errOut, levels),
 		Observer:      gateway.NoObserver{},
--- a/internal/node/homes.go
+++ b/internal/node/homes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/config"
 	"github.com/sapphireplank/sapphireplank/internal/gateway"
 	"github.com/sapphireplank/sapphireplank/internal/home"
+	"github.com/sapphireplank/sapphireplank/internal/peer"
 	"github.com/sapphireplank/sapphireplank/internal/timeline"
 )
 
@@ -27,6 +29,7 @@
 // control goroutine; Dispatcher is called by the traffic.
 type homes struct {
 	start    time.Time
+	dial     peer.DialFunc
 	reports  reporter
 	recorder timeline.Recorder
 	leaseEnd atomic.Int64
@@ -52,8 +55,8 @@
 	leaving    bool
 }
 
-func newHomes(start time.Time, reports reporter, recorder timeline.Recorder) *homes {
-	h := &homes{start: start, reports: reports, recorder: recorder}
+func newHomes(start time.Time, dial peer.DialFunc, recorder timeline.Recorder) *homes {
+	h := &homes{start: start, dial: dial, recorder: recorder}
 	h.byServer.Store(&map[string]*homeEntry{})
 	return h
 }
@@ -136,7 +139,12 @@
 
 func (h *homes) open(server serverConfig) *homeEntry {
 	service := server.service
-	client := backend.New(backend.Options{Address: server.server.Address, Slots: service.Slots})
+	address := server.server.Address
+	client := backend.New(backend.Options{
+		Address: address,
+		Slots:   service.Slots,
+		Dial:    func(ctx context.Context) (net.Conn, error) { return h.dial(ctx, address) },
+	})
 	entry := &homeEntry{server: server, client: client}
 	converter := &reportConverter{homes: h, server: server}
 	entry.dispatcher = home.Open(home.Config{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,9 +28,12 @@
 	CallerAddress string
 	AdminAddress  string
 	// Seeds are the peer addresses of gateways to ask for a configuration, by host name.
-	Seeds  map[string]string
-	Store  store.Store
-	Dial   peer.DialFunc
+	Seeds map[string]string
+	Store store.Store
+	// Dial connects to other gateways and to backend servers. Default: TCP.
+	Dial peer.DialFunc
+	// Listen opens a listener. Default: TCP.
+	Listen func(address string) (net.Listener, error)
 	Events *timeline.Log
 	Logs   *logging.Logs
 	// Observer counts requests.
@@ -62,9 +65,15 @@
 
 // Start opens the listeners and starts the control loop.
 func Start(o Options) (*Node, error) {
+	if o.Dial == nil {
+		o.Dial = peer.DialTCP
+	}
+	if o.Listen == nil {
+		o.Listen = listenTCP
+	}
 	n := &Node{options: o, start: time.Now(), log: o.Logs.Part("node")}
 	n.pool = peer.NewPool(o.Dial)
-	n.homes = newHomes(n.start, nil, o.Events)
+	n.homes = newHomes(n.start, o.Dial, o.Events)
 	n.gateway = gateway.New(gateway.Options{
 		Self:     o.Host,
 		Homes:    n.homes,
@@ -155,8 +164,10 @@
 	return nil
 }
 
+func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
 func (n *Node) open(address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := n.options.Listen(address)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "listen on %s", address), ErrListen)
 	}
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -4,6 +4,7 @@
 	"log"
 	"net/http"
 	"net/http/pprof"
+	"strings"
 
 	"github.com/sirupsen/logrus"
 
@@ -60,5 +61,16 @@
 
 // httpLog passes the messages of an HTTP server on at debug level: they are about connections of clients.
 func httpLog(entry *logrus.Entry) *log.Logger {
-	return log.New(entry.WriterLevel(logrus.DebugLevel), "", 0)
+	return log.New(debugWriter{entry}, "", 0)
+}
+
+// debugWriter writes each line as a debug message. Unlike logrus' own writer it needs no goroutine.
+type debugWriter struct {
+	entry *logrus.Entry
+}
+
+// Write logs one line.
+func (w debugWriter) Write(line []byte) (int, error) {
+	w.entry.Debug(strings.TrimSpace(string(line)))
+	return len(line), nil
 }
