cell: let a partition change cells only after its release

The holder of the cell that gains a partition asks all other cells; each answers from a table that its successor has and that follows the revision.

--- a/internal/cell/basic_test.go
+++ b/internal/cell/basic_test.go
@@ -9,7 +9,7 @@
 // TestStart guards against a cell that does not serve after its first start.
 func TestStart(t *testing.T) {
 	for _, hosts := range []int{1, 2, 3, 5, 12} {
-		w := newWorld(uint64(hosts), testConfig(hosts, false), faults{})
+		w := newWorld(uint64(hosts), testConfig(hosts, 0), faults{})
 		w.traced = true
 		took, ok := w.waitServed(5 * time.Second)
 		w.run(2 * time.Second)
--- a/internal/cell/constants.go
+++ b/internal/cell/constants.go
@@ -61,6 +61,8 @@
 	storeBackoff = time.Second
 	// keyLoadFresh is the age up to which the report on a hot key counts.
 	keyLoadFresh = 2*loadInterval + time.Second
+	// rightsInterval is the interval between questions to another cell for the partitions that it still holds.
+	rightsInterval = 300 * time.Millisecond
 	// noticeInterval bounds the answers to members that use an outdated term.
 	noticeInterval = 100 * time.Millisecond
 
--- a/internal/cell/faults.go
+++ b/internal/cell/faults.go
@@ -21,6 +21,16 @@
 	noHomeWait bool
 	// leaseDisplaced breaks H3: a home gets a lease before the loss of its servers is published.
 	leaseDisplaced bool
+	// ackAfterClaim breaks the rule that a successor withdraws its claim before it acknowledges a renewal.
+	ackAfterClaim bool
+	// publishUnacked breaks H7: the holder publishes what the successor does not have.
+	publishUnacked bool
+	// selfLeaseUnbounded breaks H1: the holder's own home lease outlives its authority.
+	selfLeaseUnbounded bool
+	// noPromise breaks A8: a polled member does not promise to take no authority.
+	noPromise bool
+	// noRights breaks the condition that another cell released a partition.
+	noRights bool
 	// noRelease breaks H4: a partition moves without a release.
 	noRelease bool
 	// acceptOldTerms breaks the rule that messages of a lower generation and term are ignored.
--- a/internal/cell/gateway_test.go
+++ b/internal/cell/gateway_test.go
@@ -23,7 +23,7 @@
 	down    bool
 	paused  bool
 	inbox   []func() Output
-	checked [2]uint64
+	checked tableVersion
 
 	health    map[string]bool
 	probed    map[string]time.Duration
@@ -128,9 +128,7 @@
 	}
 	if out.Changed {
 		w.checkTable(g)
-		if g.node.cell == "c1" {
-			g.runHomes()
-		}
+		g.runHomes()
 	}
 }
 
@@ -141,6 +139,8 @@
 	up     bool
 	// lost is the probability that a response is lost.
 	lost float64
+	// late, if set, is the delay of the response to the next write of the cell's record.
+	late time.Duration
 }
 
 type fakeEntry struct {
@@ -167,7 +167,11 @@
 		case lost < s.lost:
 			result = StoreResult{ID: r.ID, Err: store.ErrUnavailable}
 		}
-		w.after(delay(), func() { g.do(func() Output { return g.node.StoreResult(g.local(), result) }) })
+		wait := delay()
+		if s.late > 0 && r.Write && r.Key == "cells/c1" {
+			wait, s.late = s.late, 0
+		}
+		w.after(wait, func() { g.do(func() Output { return g.node.StoreResult(g.local(), result) }) })
 	})
 }
 
--- a/internal/cell/history_test.go
+++ b/internal/cell/history_test.go
@@ -3,6 +3,8 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,8 +21,8 @@
 
 // history runs one cell through random faults, then heals everything and waits until all is served again.
 func history(seed uint64, f faults, traced bool) *world {
-	shape := newWorld(seed, testConfig(1, false), faults{}).rng
-	w := newWorld(seed, testConfig(2+shape.IntN(4), shape.IntN(2) == 0), f)
+	shape := rand.New(rand.NewPCG(seed, 0x5b))
+	w := newWorld(seed, testConfig(2+shape.IntN(4), shape.IntN(3)), f)
 	w.traced = traced
 	w.run(time.Duration(w.rng.Int64N(int64(3 * time.Second))))
 	w.loss = []float64{0, 0.02, 0.2}[w.rng.IntN(3)]
@@ -124,11 +126,12 @@
 	c := *w.config
 	c.Revision++
 	c.Services = append(c.Services[:0:0], c.Services...)
-	full := testConfig(1, false)
+	full := testConfig(1, len(c.CellHosts("c2")))
 	for i := range c.Services {
 		c.Services[i].Servers = full.Services[i].Servers
 		if w.rng.IntN(2) == 0 {
-			c.Services[i].Servers = c.Services[i].Servers[:len(c.Services[i].Servers)-1]
+			out := w.rng.IntN(len(c.Services[i].Servers))
+			c.Services[i].Servers = slices.Delete(c.Services[i].Servers, out, out+1)
 		}
 	}
 	w.logf("revision %d", c.Revision)
--- a/internal/cell/holder.go
+++ b/internal/cell/holder.go
@@ -45,6 +45,7 @@
 	load         map[string][]float64
 	keyLoad      map[unit]keyLoadRow
 	serverLoad   map[string]float64
+	rights       map[string]*rightsState
 	planDue      bool
 	plannedAt    time.Duration
 	syncedAt     time.Duration
@@ -71,6 +72,7 @@
 		load:         make(map[string][]float64),
 		keyLoad:      make(map[unit]keyLoadRow),
 		serverLoad:   make(map[string]float64),
+		rights:       make(map[string]*rightsState),
 		planDue:      true,
 		ackedAt:      now,
 		tableStore:   tableStore{writtenAt: now - tableWriteInterval},
@@ -225,6 +227,9 @@
 		h.committed = h.ledger.table.version
 	} else {
 		h.committed = max(h.committed, h.acked)
+		if n.faults.publishUnacked {
+			h.committed = h.ledger.table.version
+		}
 		n.acknowledged = max(n.acknowledged, h.acked)
 		if h.sentUpTo < h.ledger.table.version {
 			n.renew(now)
--- a/internal/cell/loss_test.go
+++ b/internal/cell/loss_test.go
@@ -82,7 +82,7 @@
 
 // loss runs one case with several seeds: lose the parts, look at the service in time, bring everything back after
 // another second, and look again 4 s later.
-func loss(hosts int, foreign bool, parts []string, seeds uint64) string {
+func loss(hosts, foreign int, parts []string, seeds uint64) string {
 	within, returned := uint64(0), uint64(0)
 	for seed := range seeds {
 		w := newWorld(seed+1, testConfig(hosts, foreign), faults{})
@@ -128,8 +128,7 @@
 // TestLosses guards against losses, alone and in pairs, that stop the service longer than the design says.
 func TestLosses(t *testing.T) {
 	datadriven.RunTest(t, "testdata/losses", func(t *testing.T, d *datadriven.TestData) string {
-		var hosts int
-		var foreign bool
+		var hosts, foreign int
 		d.ScanArgs(t, "hosts", &hosts)
 		d.MaybeScanArgs(t, "foreign", &foreign)
 		var lines []string
--- a/internal/cell/membership.go
+++ b/internal/cell/membership.go
@@ -97,6 +97,9 @@
 		return
 	}
 	end := min(h.authorityEnd, now+HomeLease)
+	if n.faults.selfLeaseUnbounded {
+		end = now + HomeLease
+	}
 	record.leaseEnd = max(record.leaseEnd, end)
 	if end > n.local.leaseEnd {
 		n.local.leaseEnd = end
--- a/internal/cell/mutation_test.go
+++ b/internal/cell/mutation_test.go
@@ -1,23 +1,51 @@
 package cell
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // mutations disables one rule each. tries bounds the histories until the checker must have noticed.
 var mutations = []struct {
 	rule   string
 	faults faults
+	// scenario replaces the random histories for a rule that they rarely need.
+	scenario func(seed uint64, f faults) *world
 }{
-	{"A1 holder's lease", faults{actBeyondLease: true}},
-	{"A2 successor's wait", faults{claimAtOnce: true}},
-	{"A3 first claim wins", faults{grantEveryClaim: true}},
-	{"A6 both arbiters", faults{newArbiterOnly: true}},
-	{"A8 wait", faults{noRecoveryWait: true}},
-	{"A8 polls", faults{noPoll: true}},
-	{"H1 lease from the sending", faults{leaseFromReceipt: true}},
-	{"H3 wait for home leases", faults{noHomeWait: true}},
-	{"H3 lease after the loss is published", faults{leaseDisplaced: true}},
-	{"H4 release before the move", faults{noRelease: true}},
-	{"messages of lower terms", faults{acceptOldTerms: true}},
+	{rule: "A1 holder's lease", faults: faults{actBeyondLease: true}},
+	{rule: "A2 successor's wait", faults: faults{claimAtOnce: true}},
+	{rule: "A3 first claim wins", faults: faults{grantEveryClaim: true}},
+	{rule: "A6 both arbiters", faults: faults{newArbiterOnly: true}},
+	{rule: "A8 wait", faults: faults{noRecoveryWait: true}},
+	{rule: "A8 polls", faults: faults{noPoll: true}},
+	{rule: "H1 lease from the sending", faults: faults{leaseFromReceipt: true}},
+	{rule: "H3 wait for home leases", faults: faults{noHomeWait: true}},
+	{rule: "H3 lease after the loss is published", faults: faults{leaseDisplaced: true}},
+	{rule: "H4 release before the move", faults: faults{noRelease: true}},
+	{rule: "release by the other cell", faults: faults{noRights: true}},
+	{rule: "A3 withdrawal before an acknowledgement", faults: faults{ackAfterClaim: true}},
+	{rule: "H7 publication after the acknowledgement", faults: faults{publishUnacked: true}},
+	{rule: "A8 promise", faults: faults{noPromise: true}, scenario: lateGeneration},
+	{rule: "messages of lower terms", faults: faults{acceptOldTerms: true}},
+}
+
+// lateGeneration restarts all gateways of a cell. The one that first writes the generation gets the response so late
+// that another one starts a recovery meanwhile, and does not hear of it.
+func lateGeneration(seed uint64, f faults) *world {
+	w := newWorld(seed, testConfig(3, 0), f)
+	w.run(3 * time.Second)
+	for _, host := range w.hosts {
+		w.gateways[host].crash()
+		w.start(host)
+	}
+	w.store.late = 1700 * ms
+	for w.now < 6*time.Second {
+		w.run(ms)
+		if h := w.holder(); h != nil && len(w.blocked) == 0 {
+			w.isolate(h.host, time.Hour)
+		}
+	}
+	return w
 }
 
 // TestMutations guards against a checker that does not notice a missing safety rule.
@@ -26,8 +54,17 @@
 		t.Run(m.rule, func(t *testing.T) {
 			t.Parallel()
 			const tries = 3000
+			run := func(seed uint64, f faults) *world { return history(seed, f, false) }
+			if m.scenario != nil {
+				run = m.scenario
+				for seed := range uint64(20) {
+					if w := run(seed, faults{}); len(w.violations) > 0 {
+						t.Fatalf("seed %d with all rules: %s", seed, w.violations[0])
+					}
+				}
+			}
 			for seed := range uint64(tries) {
-				if w := history(seed+1, m.faults, false); len(w.violations) > 0 {
+				if w := run(seed+1, m.faults); len(w.violations) > 0 {
 					t.Logf("seed %d: %s", seed+1, w.violations[0])
 					return
 				}
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -21,6 +21,10 @@
 	Incarnation uint64
 	// WallStart is the wall clock time at monotonic time 0. Only planned stops depend on it.
 	WallStart time.Time
+	// ConfigKey is the store's key of the accepted configuration, and ConfigRevision reads the revision from its value.
+	// With them, a start or recovery waits until Configure was called with the revision that the store has.
+	ConfigKey      string
+	ConfigRevision func(value []byte) (uint64, error)
 	// Random is the source of random delays.
 	Random *rand.Rand
 	// Assign is the assignment policy. Default: AssignEvenly.
@@ -46,6 +50,8 @@
 type Node struct {
 	self      Member
 	wallStart time.Time
+	configKey string
+	revision  func([]byte) (uint64, error)
 	random    *rand.Rand
 	assign    AssignFunc
 	ownership ownershipMachine
@@ -89,6 +95,8 @@
 	n := &Node{
 		self:      Member{Host: c.Host, Incarnation: c.Incarnation},
 		wallStart: c.WallStart,
+		configKey: c.ConfigKey,
+		revision:  c.ConfigRevision,
 		random:    c.Random,
 		assign:    c.Assign,
 		ownership: newOwnershipMachine(),
@@ -184,6 +192,10 @@
 		n.onPoll(now, from, m.Revision, body.Poll)
 	case *wire.Control_PollAnswer:
 		n.onPollAnswer(now, from, body.PollAnswer)
+	case *wire.Control_RightsQuery:
+		n.onRightsQuery(now, from, m.Revision, body.RightsQuery)
+	case *wire.Control_RightsAnswer:
+		n.onRightsAnswer(now, body.RightsAnswer)
 	case *wire.Control_Probe:
 		n.send(from, &wire.Control{Body: &wire.Control_ProbeAnswer{ProbeAnswer: &wire.ProbeAnswer{}}})
 	case *wire.Control_ProbeAnswer:
--- a/internal/cell/recovery.go
+++ b/internal/cell/recovery.go
@@ -100,6 +100,24 @@
 	r.round++
 	r.phase, r.deadline = recoveryReading, now+storeTimeout
 	r.best = n.table.clone()
+	if n.configKey == "" {
+		n.readRecord(now)
+		return
+	}
+	n.storeGet(now, n.configKey, n.guard(func(now time.Duration, result StoreResult) {
+		revision, err := n.revision(result.Entry.Value)
+		if result.Err == nil && (err != nil || revision > n.config.Revision) {
+			n.event("cell/recovery-refused", "", "the store has a later configuration; it must be in force here first")
+			n.retryRecovery(now)
+			return
+		}
+		n.readRecord(now)
+	}))
+}
+
+// readRecord reads the cell's record and decides between a start and a recovery.
+func (n *Node) readRecord(now time.Duration) {
+	r := &n.recovery
 	n.storeGet(now, n.recordKey(), n.guard(func(now time.Duration, result StoreResult) {
 		if errors.Is(result.Err, store.ErrNotFound) {
 			r.target, r.version = max(1, n.promised), 0
@@ -199,7 +217,7 @@
 	}
 	if p.Promise {
 		free = free && (p.Target > n.promised || p.Target == n.promised && n.promisedTo == from)
-		if free {
+		if free && !n.faults.noPromise {
 			n.promise(now, p.Target, from)
 			r.abandon()
 			r.nextAt = now + pollTimeout + time.Duration(n.random.Int64N(int64(pollBackoffMax)))
@@ -278,6 +296,9 @@
 	}
 	best.generation = target
 	best.version++
+	if best.revision < n.config.Revision {
+		best.dropRights()
+	}
 	h := newHolderState(now, best)
 	wait := withDrift(AuthorityLease+HomeLease) + MaxClockSkew + n.maxExcess()
 	if n.faults.noRecoveryWait {
--- a/internal/cell/servers_test.go
+++ b/internal/cell/servers_test.go
@@ -58,7 +58,7 @@
 		}
 		e.until = max(e.until, old.until)
 	}
-	w.checkToken(u, token, s.name)
+	w.checkToken(ownedUnit{unit: u, cell: g.node.cell}, token, s.name)
 	s.running[u] = e
 	s.seen[u] = token
 	w.dispatched[u] = w.now
--- a/internal/cell/successor.go
+++ b/internal/cell/successor.go
@@ -41,7 +41,7 @@
 	if r.Seq <= s.renewSeq && s.claim != nil {
 		return
 	}
-	if s.claim != nil {
+	if s.claim != nil && !n.faults.ackAfterClaim {
 		s.claim, s.withdrawn = nil, true
 	}
 	s.renewSeq = max(s.renewSeq, r.Seq)
--- a/internal/cell/units.go
+++ b/internal/cell/units.go
@@ -29,6 +29,7 @@
 	if placement == nil || len(t.owners) != s.Partitions {
 		return
 	}
+	n.planRights(now, s, t, placement)
 	request := n.assignRequest(now, s, t, placement)
 	result := n.assign(request)
 	d := &desiredOwners{servers: request.Servers, owners: result.Owners, keys: make(map[string]string)}
@@ -75,16 +76,13 @@
 			i = Unowned
 		}
 		r.Previous[p] = i
-		r.Placed[p] = placement.Cell(keyspace.Partition(p)) == n.cell && n.mayOwn(s.Name, keyspace.Partition(p), owner)
+		r.Placed[p] = placement.Cell(keyspace.Partition(p)) == n.cell && owner != (Owner{})
 	}
 	maps.DeleteFunc(h.keyLoad, func(_ unit, row keyLoadRow) bool { return now-row.at > keyLoadFresh })
 	r.Keys = n.assignKeys(s.Name, t, index, placement)
 	return r
 }
 
-// mayOwn reports whether the cell may own a placed partition.
-func (n *Node) mayOwn(string, keyspace.Partition, Owner) bool { return true }
-
 func (n *Node) assignKeys(service string, t *serviceTable, index map[string]int, placement *config.Placement) []AssignKey {
 	keys := make(map[string]AssignKey)
 	for key, owner := range t.hot {
@@ -103,7 +101,8 @@
 		}
 	}
 	maps.DeleteFunc(keys, func(key string, _ AssignKey) bool {
-		return placement.Cell(keyspace.Of(key, len(t.owners))) != n.cell
+		p := keyspace.Of(key, len(t.owners))
+		return placement.Cell(p) != n.cell || t.owners[p] == (Owner{})
 	})
 	list := make([]AssignKey, 0, len(keys))
 	for _, key := range slices.Sorted(maps.Keys(keys)) {
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -37,15 +37,27 @@
 	// Probabilities of the network, per message.
 	loss, duplicate, slow float64
 
-	maxToken   map[unit]fence.Token
-	lineage    map[[2]uint64]uint64
-	acked      map[uint64]uint64
+	maxToken   map[ownedUnit]fence.Token
+	lineage    map[tableVersion]uint64
+	acked      map[tableVersion]uint64
 	dispatched map[unit]time.Duration
 	violations []string
 	trace      []string
 	traced     bool
 }
 
+// ownedUnit is a unit in one cell. Tokens of different cells are not comparable; no server sees both.
+type ownedUnit struct {
+	unit
+	cell string
+}
+
+// tableVersion names a version of the table of one cell, or a whole generation if version is 0.
+type tableVersion struct {
+	cell                string
+	generation, version uint64
+}
+
 type event struct {
 	at  time.Duration
 	seq uint64
@@ -66,14 +78,15 @@
 	return last
 }
 
-// testConfig has a cell c1 with the given number of hosts and, if foreign is set, a cell c2 with one host.
-func testConfig(hosts int, foreign bool) *config.Config {
+// testConfig has a cell c1 with the given number of hosts, and a cell c2 with foreign hosts. If c2 has two hosts, it also
+// has servers of service keyed.
+func testConfig(hosts, foreign int) *config.Config {
 	c := &config.Config{Revision: 1, Zones: []config.Zone{{Name: "z1"}, {Name: "z2"}}}
 	for i := range hosts {
 		c.Hosts = append(c.Hosts, config.Host{Name: fmt.Sprintf("h%d", i+1), Zone: "z1", Cell: "c1"})
 	}
-	if foreign {
-		c.Hosts = append(c.Hosts, config.Host{Name: "f1", Zone: "z2", Cell: "c2"})
+	for i := range foreign {
+		c.Hosts = append(c.Hosts, config.Host{Name: fmt.Sprintf("f%d", i+1), Zone: "z2", Cell: "c2"})
 	}
 	add := func(s config.Service, servers int) {
 		for i := range servers {
@@ -84,6 +97,11 @@
 	add(config.Service{Name: "keyed", Keyed: true, Partitions: 8, Fenced: true, MaxRequestMillis: 400}, 3)
 	add(config.Service{Name: "plain", Keyed: true, Partitions: 4, MaxRequestMillis: 700}, 2)
 	add(config.Service{Name: "pool", MaxRequestMillis: 400}, 2)
+	if foreign > 1 {
+		for _, name := range []string{"keyed4", "keyed5"} {
+			c.Services[0].Servers = append(c.Services[0].Servers, config.Server{Name: name, Zone: "z2", Cell: "c2"})
+		}
+	}
 	return c
 }
 
@@ -91,7 +109,7 @@
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 0x5a)), config: c, faults: f,
 		gateways: make(map[string]*gateway), servers: make(map[string]*fakeServer), blocked: make(map[[2]string]bool),
-		maxToken: make(map[unit]fence.Token), lineage: make(map[[2]uint64]uint64), acked: make(map[uint64]uint64),
+		maxToken: make(map[ownedUnit]fence.Token), lineage: make(map[tableVersion]uint64), acked: make(map[tableVersion]uint64),
 		dispatched: make(map[unit]time.Duration),
 	}
 	w.store = &fakeStore{world: w, values: make(map[string]fakeEntry), up: true}
@@ -166,7 +184,7 @@
 }
 
 // checkToken guards against fencing tokens that go back.
-func (w *world) checkToken(u unit, token fence.Token, server string) {
+func (w *world) checkToken(u ownedUnit, token fence.Token, server string) {
 	if token.Less(w.maxToken[u]) {
 		w.violate("%v runs on %s under token %s after %s", u, server, token, w.maxToken[u])
 	}
@@ -177,10 +195,11 @@
 // assignment when a successor takes over.
 func (w *world) checkTable(g *gateway) {
 	t := g.node.table
-	if t.generation == 0 || g.node.cell != "c1" {
+	if t.generation == 0 {
 		return
 	}
-	id := [2]uint64{t.generation, t.version}
+	id := tableVersion{cell: g.node.cell, generation: t.generation, version: t.version}
+	whole := tableVersion{cell: g.node.cell, generation: t.generation}
 	if id != g.checked {
 		g.checked = id
 		hash := tableHash(t)
@@ -192,12 +211,12 @@
 	if g.node.acknowledged > t.version {
 		w.violate("%s has acknowledged version %d beyond its table %d", g.host, g.node.acknowledged, t.version)
 	}
-	w.acked[t.generation] = max(w.acked[t.generation], g.node.acknowledged)
+	w.acked[whole] = max(w.acked[whole], g.node.acknowledged)
 	if h := g.node.holder; h != nil && g.node.Acting(g.local()) {
 		// The ledger counts, not the published table: the successor may know of a change before the holder has its
 		// acknowledgement.
-		if t := h.ledger.table; t.version < w.acked[t.generation] {
-			w.violate("holder %s lost acknowledged version %d, it has %d", g.host, w.acked[t.generation], t.version)
+		if t := h.ledger.table; t.version < w.acked[whole] {
+			w.violate("holder %s lost acknowledged version %d, it has %d", g.host, w.acked[whole], t.version)
 		}
 	}
 }
