cell: push moves to their homes and hand over without a wait

A home learned of a new grant only with its next heartbeat, up to 150 ms later; the holder now sends committed changes at once to the homes that they concern.

--- a/internal/cell/constants.go
+++ b/internal/cell/constants.go
@@ -68,6 +68,8 @@
 
 	// maxLoadRows bounds the partitions in one load report of one home, for the traffic of the holder.
 	maxLoadRows = 48
+	// milli is the resolution of reported load, in parts of a slot.
+	milli = 1000
 	// maxKeyRows bounds the hot keys in one load report of one home.
 	maxKeyRows = 8
 	// maxReleasing bounds the partitions of one service that release at the same time for balance.
--- a/internal/cell/handover.go
+++ b/internal/cell/handover.go
@@ -19,11 +19,12 @@
 	if !n.leaving || h.installing || h.claim != nil || h.proposal != nil || n.pair.Successor.IsZero() {
 		return
 	}
-	if h.acked < h.ledger.table.version || now-h.ackedAt > SuspectAfter {
+	if h.planDue || h.ledger.changed() || h.acked < h.ledger.table.version || now-h.ackedAt > SuspectAfter {
 		return
 	}
 	for _, e := range n.table.servers {
-		if e.home == n.self {
+		// A server without a home would wait for the successor, which moves nothing at first (H3).
+		if e.home == n.self || e.home.IsZero() {
 			return
 		}
 	}
--- a/internal/cell/history_test.go
+++ b/internal/cell/history_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/config"
 )
 
 var (
@@ -134,7 +136,12 @@
 			c.Services[i].Servers = slices.Delete(c.Services[i].Servers, out, out+1)
 		}
 	}
-	w.logf("revision %d", c.Revision)
+	c.Stops = nil
+	if w.rng.IntN(2) == 0 {
+		target := append(sortedKeys(w.servers), w.hosts...)[w.rng.IntN(len(w.servers)+len(w.hosts))]
+		c.Stops = append(c.Stops, config.Stop{Target: target, At: time.Unix(0, 0).Add(w.now), ForSeconds: 2})
+	}
+	w.logf("revision %d, stops %v", c.Revision, c.Stops)
 	w.config = &c
 	for _, host := range w.hosts {
 		w.after(time.Duration(w.rng.Int64N(int64(time.Second))), func() { w.gateways[host].configure(&c) })
--- a/internal/cell/holder.go
+++ b/internal/cell/holder.go
@@ -246,10 +246,36 @@
 		return
 	}
 	if n.table.generation == t.generation && n.table.version >= h.ledger.base {
-		n.applyTable(h.ledger.since(t.generation, n.table.version, h.committed, nil))
+		d := h.ledger.since(t.generation, n.table.version, h.committed, nil)
+		n.applyTable(d)
+		n.push(d)
 		return
 	}
 	if h.committed == t.version {
 		n.applyTable(t.whole())
 	}
 }
+
+// push sends the table at once to the homes that d concerns, so that a move does not wait for their next heartbeat.
+func (n *Node) push(d *wire.TableDelta) {
+	h := n.holder
+	homes := make(map[Member]bool)
+	for _, e := range d.Servers {
+		homes[memberFrom(e.Home)] = true
+	}
+	for _, s := range d.Services {
+		for _, name := range s.ServerNames {
+			if e, ok := n.table.servers[name]; ok {
+				homes[e.home] = true
+			}
+		}
+	}
+	for _, member := range h.sortedMembers() {
+		record := h.members[member]
+		if !homes[member] || !record.answered || member == n.self || member == n.pair.Successor {
+			continue
+		}
+		table := h.ledger.since(record.generation, record.version, n.table.version, n.table)
+		n.send(member, &wire.Control{Body: &wire.Control_HeartbeatReply{HeartbeatReply: &wire.HeartbeatReply{Table: table}}})
+	}
+}
--- a/internal/cell/ledger.go
+++ b/internal/cell/ledger.go
@@ -70,9 +70,12 @@
 	}
 }
 
+// changed reports whether there are changes without a version.
+func (l *ledger) changed() bool { return len(l.servers)+len(l.units)+len(l.services) > 0 }
+
 // seal turns the collected changes into one version and reports whether there were any.
 func (l *ledger) seal() bool {
-	if len(l.servers)+len(l.units)+len(l.services) == 0 {
+	if !l.changed() {
 		return false
 	}
 	t := l.table
--- a/internal/cell/localhome.go
+++ b/internal/cell/localhome.go
@@ -157,10 +157,16 @@
 
 // fillLoad adds the heaviest partitions and keys. The rest counts as average at the holder.
 func (l *localHome) fillLoad(hb *wire.Heartbeat) {
+	byService := make(map[string]*wire.ServiceLoad)
 	for _, u := range heaviest(l.load, maxLoadRows) {
-		hb.Load = append(hb.Load, &wire.PartitionLoad{
-			Service: u.service, Partition: uint32(u.partition), Load: float32(l.load[u]),
-		})
+		s, ok := byService[u.service]
+		if !ok {
+			s = &wire.ServiceLoad{Service: u.service}
+			byService[u.service] = s
+			hb.Load = append(hb.Load, s)
+		}
+		s.Partition = append(s.Partition, uint32(u.partition))
+		s.MilliSlots = append(s.MilliSlots, uint32(l.load[u]*milli))
 	}
 	for _, u := range heaviest(l.keyLoad, maxKeyRows) {
 		hb.HotKeys = append(hb.HotKeys, &wire.KeyLoad{Service: u.service, Key: u.key, Load: float32(l.keyLoad[u])})
--- a/internal/cell/membership.go
+++ b/internal/cell/membership.go
@@ -18,6 +18,8 @@
 	heardAt  time.Duration
 	leaving  bool
 	promised uint64
+	// generation and version name the table that the process had at its last heartbeat.
+	generation, version uint64
 	// answered is true once the process sent a heartbeat to this holder.
 	answered bool
 }
@@ -113,6 +115,7 @@
 	}
 	record.answered, record.heardAt = true, now
 	record.leaving, record.promised = hb.Leaving, hb.Promised
+	record.generation, record.version = hb.TableGeneration, hb.TableVersion
 	for _, s := range hb.Servers {
 		n.takeServerStatus(now, from, s)
 	}
@@ -128,15 +131,19 @@
 // takeLoad records the load that the assignment policy uses.
 func (n *Node) takeLoad(now time.Duration, hb *wire.Heartbeat) {
 	h := n.holder
-	for _, row := range hb.Load {
-		s, ok := h.ledger.table.services[row.Service]
-		if !ok || int(row.Partition) >= len(s.owners) {
+	for _, rows := range hb.Load {
+		s, ok := h.ledger.table.services[rows.Service]
+		if !ok || len(rows.Partition) != len(rows.MilliSlots) {
 			continue
 		}
-		if len(h.load[row.Service]) != len(s.owners) {
-			h.load[row.Service] = make([]float64, len(s.owners))
+		if len(h.load[rows.Service]) != len(s.owners) {
+			h.load[rows.Service] = make([]float64, len(s.owners))
+		}
+		for i, p := range rows.Partition {
+			if int(p) < len(s.owners) {
+				h.load[rows.Service][p] = float64(rows.MilliSlots[i]) / milli
+			}
 		}
-		h.load[row.Service][row.Partition] = float64(row.Load)
 	}
 	for _, row := range hb.HotKeys {
 		if u := (unit{service: row.Service, key: row.Key}); len(h.keyLoad) < maxOverrides {
--- a/internal/cell/servers_test.go
+++ b/internal/cell/servers_test.go
@@ -66,7 +66,7 @@
 
 // runHomes does what the dispatchers of this gateway do with the snapshot.
 func (g *gateway) runHomes() {
-	if g.down || g.paused {
+	if g.down || g.paused || g.world.homesOff {
 		return
 	}
 	snapshot := g.node.Snapshot()
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -44,6 +44,8 @@
 	violations []string
 	trace      []string
 	traced     bool
+	// homesOff skips the fake homes, for measurements of control alone.
+	homesOff bool
 }
 
 // ownedUnit is a unit in one cell. Tokens of different cells are not comparable; no server sees both.
