--- a/internal/cell/constants.go
+++ b/internal/cell/constants.go
@@ -61,11 +61,15 @@
 	storeBackoff = time.Second
 	// keyLoadFresh is the age up to which the report on a hot key counts.
 	keyLoadFresh = 2*loadInterval + time.Second
+	// rightsInterval is the interval between questions to another cell for the partitions that it still holds.
+	rightsInterval = 300 * time.Millisecond
 	// noticeInterval bounds the answers to members that use an outdated term.
 	noticeInterval = 100 * time.Millisecond
 
 	// maxLoadRows bounds the partitions in one load report of one home, for the traffic of the holder.
 	maxLoadRows = 48
+	// milli is the resolution of reported load, in parts of a slot.
+	milli = 1000
 	// maxKeyRows bounds the hot keys in one load report of one home.
 	maxKeyRows = 8
 	// maxReleasing bounds the partitions of one service that release at the same time for balance.
--- a/internal/cell/history_test.go
+++ b/internal/cell/history_test.go
@@ -3,11 +3,15 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/config"
 )
 
 var (
@@ -19,8 +23,8 @@
 
 // history runs one cell through random faults, then heals everything and waits until all is served again.
 func history(seed uint64, f faults, traced bool) *world {
-	shape := newWorld(seed, testConfig(1, false), faults{}).rng
-	w := newWorld(seed, testConfig(2+shape.IntN(4), shape.IntN(2) == 0), f)
+	shape := rand.New(rand.NewPCG(seed, 0x5b))
+	w := newWorld(seed, testConfig(2+shape.IntN(4), shape.IntN(3)), f)
 	w.traced = traced
 	w.run(time.Duration(w.rng.Int64N(int64(3 * time.Second))))
 	w.loss = []float64{0, 0.02, 0.2}[w.rng.IntN(3)]
@@ -124,14 +128,20 @@
 	c := *w.config
 	c.Revision++
 	c.Services = append(c.Services[:0:0], c.Services...)
-	full := testConfig(1, false)
+	full := testConfig(1, len(c.CellHosts("c2")))
 	for i := range c.Services {
 		c.Services[i].Servers = full.Services[i].Servers
 		if w.rng.IntN(2) == 0 {
-			c.Services[i].Servers = c.Services[i].Servers[:len(c.Services[i].Servers)-1]
+			out := w.rng.IntN(len(c.Services[i].Servers))
+			c.Services[i].Servers = slices.Delete(c.Services[i].Servers, out, out+1)
 		}
 	}
-	w.logf("revision %d", c.Revision)
+	c.Stops = nil
+	if w.rng.IntN(2) == 0 {
+		target := append(sortedKeys(w.servers), w.hosts...)[w.rng.IntN(len(w.servers)+len(w.hosts))]
+		c.Stops = append(c.Stops, config.Stop{Target: target, At: time.Unix(0, 0).Add(w.now), ForSeconds: 2})
+	}
+	w.logf("revision %d, stops %v", c.Revision, c.Stops)
 	w.config = &c
 	for _, host := range w.hosts {
 		w.after(time.Duration(w.rng.Int64N(int64(time.Second))), func() { w.gateways[host].configure(&c) })
--- a/internal/cell/holder.go
+++ b/internal/cell/holder.go
@@ -45,6 +45,7 @@
 	load         map[string][]float64
 	keyLoad      map[unit]keyLoadRow
 	serverLoad   map[string]float64
+	rights       map[string]*rightsState
 	planDue      bool
 	plannedAt    time.Duration
 	syncedAt     time.Duration
@@ -71,6 +72,7 @@
 		load:         make(map[string][]float64),
 		keyLoad:      make(map[unit]keyLoadRow),
 		serverLoad:   make(map[string]float64),
+		rights:       make(map[string]*rightsState),
 		planDue:      true,
 		ackedAt:      now,
 		tableStore:   tableStore{writtenAt: now - tableWriteInterval},
@@ -225,6 +227,9 @@
 		h.committed = h.ledger.table.version
 	} else {
 		h.committed = max(h.committed, h.acked)
+		if n.faults.publishUnacked {
+			h.committed = h.ledger.table.version
+		}
 		n.acknowledged = max(n.acknowledged, h.acked)
 		if h.sentUpTo < h.ledger.table.version {
 			n.renew(now)
@@ -241,10 +246,36 @@
 		return
 	}
 	if n.table.generation == t.generation && n.table.version >= h.ledger.base {
-		n.applyTable(h.ledger.since(t.generation, n.table.version, h.committed, nil))
+		d := h.ledger.since(t.generation, n.table.version, h.committed, nil)
+		n.applyTable(d)
+		n.push(d)
 		return
 	}
 	if h.committed == t.version {
 		n.applyTable(t.whole())
 	}
 }
+
+// push sends the table at once to the homes that d concerns, so that a move does not wait for their next heartbeat.
+func (n *Node) push(d *wire.TableDelta) {
+	h := n.holder
+	homes := make(map[Member]bool)
+	for _, e := range d.Servers {
+		homes[memberFrom(e.Home)] = true
+	}
+	for _, s := range d.Services {
+		for _, name := range s.ServerNames {
+			if e, ok := n.table.servers[name]; ok {
+				homes[e.home] = true
+			}
+		}
+	}
+	for _, member := range h.sortedMembers() {
+		record := h.members[member]
+		if !homes[member] || !record.answered || member == n.self || member == n.pair.Successor {
+			continue
+		}
+		table := h.ledger.since(record.generation, record.version, n.table.version, n.table)
+		n.send(member, &wire.Control{Body: &wire.Control_HeartbeatReply{HeartbeatReply: &wire.HeartbeatReply{Table: table}}})
+	}
+}
--- a/internal/cell/servers_test.go
+++ b/internal/cell/servers_test.go
@@ -58,7 +58,7 @@
 		}
 		e.until = max(e.until, old.until)
 	}
-	w.checkToken(u, token, s.name)
+	w.checkToken(ownedUnit{unit: u, cell: g.node.cell}, token, s.name)
 	s.running[u] = e
 	s.seen[u] = token
 	w.dispatched[u] = w.now
@@ -66,7 +66,7 @@
 
 // runHomes does what the dispatchers of this gateway do with the snapshot.
 func (g *gateway) runHomes() {
-	if g.down || g.paused {
+	if g.down || g.paused || g.world.homesOff {
 		return
 	}
 	snapshot := g.node.Snapshot()
