--- /dev/null
+++ b/internal/home/faulttable_test.go
@@ -0,0 +1,87 @@
+package home
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/backend"
+	"github.com/sapphireplank/sapphireplank/internal/standin"
+)
+
+// TestFaultTable guards against wrong outcomes for the caller. Each row is one fault of the server: how the
+// request ends, how often it ran, and how a retry with the same identity ends after the fault is gone.
+func TestFaultTable(t *testing.T) {
+	fault := func(f standin.Fault) func(*standin.Server) {
+		return func(s *standin.Server) { s.Set(func(w *standin.Switches) { w.Fault = f }) }
+	}
+	tests := []struct {
+		name  string
+		cause func(*standin.Server)
+		first string
+		runs  int
+		// retry is the end of a retry of a request that must run once. Idempotent requests run again.
+		retry string
+	}{
+		{"none", fault(standin.FaultNone), "200", 1, "repeated-request ran"},
+		{"shed", fault(standin.FaultShed), "backend-shed-load not-run", 0, "200"},
+		{"close before", fault(standin.FaultCloseBefore), "connection-lost unknown", 0, "repeated-request unknown"},
+		{"close after", fault(standin.FaultCloseAfter), "connection-lost unknown", 1, "repeated-request unknown"},
+		{"cut head", fault(standin.FaultCutHead), "connection-lost unknown", 1, "repeated-request unknown"},
+		{"cut body", fault(standin.FaultCutBody), "cut", 1, "repeated-request ran"},
+		{"cut chunked", fault(standin.FaultCutChunked), "cut", 1, "repeated-request ran"},
+		{"garbage", fault(standin.FaultGarbage), "connection-lost unknown", 1, "repeated-request unknown"},
+		{"no length", fault(standin.FaultNoLength), "bad-answer unknown", 1, "repeated-request unknown"},
+		{"other id", fault(standin.FaultOtherID), "bad-answer unknown", 1, "repeated-request unknown"},
+		{"twice", fault(standin.FaultTwice), "200", 1, "repeated-request ran"},
+		{"slow body", fault(standin.FaultSlowBody), "cut", 1, "repeated-request ran"},
+		{"unmarked 503", fault(standin.FaultUnmarked), "503", 1, "repeated-request ran"},
+		{"draining", func(s *standin.Server) { s.Set(func(w *standin.Switches) { w.Draining = true }) },
+			"draining not-run", 0, "200"},
+		{"frozen", (*standin.Server).Freeze, "timeout unknown", 0, "repeated-request unknown"},
+		{"probes fail", func(s *standin.Server) { s.Set(func(w *standin.Switches) { w.FailProbes = true }) },
+			"200", 1, "repeated-request ran"},
+		{"wrong report", func(s *standin.Server) {
+			s.Set(func(w *standin.Switches) { w.Report = &backend.Health{State: backend.StateFailing, InProgress: 99} })
+		}, "200", 1, "repeated-request ran"},
+		{"lagging report", func(s *standin.Server) { s.Set(func(w *standin.Switches) { w.ReportLag = time.Minute }) },
+			"200", 1, "repeated-request ran"},
+		{"lost grants", func(s *standin.Server) { s.DropGrants() }, "stale-grant not-run", 0, "200"},
+	}
+	for _, test := range tests {
+		for _, idempotent := range []bool{false, true} {
+			t.Run(test.name, func(t *testing.T) {
+				onBench(t, fenced, standin.Options{ColdStart: time.Second, ColdFactor: 2}, func(b *bench) {
+					send := func() (string, *backend.Request) {
+						req := b.request(func(r *backend.Request) { r.Idempotent, r.Identity = idempotent, "identity" })
+						return b.do(b.Context(), req), req
+					}
+					b.want("before", b.do(b.Context(), b.request(nil)), "200")
+					test.cause(b.server)
+					got, first := send()
+					time.Sleep(time.Second)
+					b.want("first", got, test.first)
+					b.wantRuns(first, test.runs)
+					b.server.Thaw()
+					b.server.Set(func(s *standin.Switches) { *s = standin.Switches{} })
+					time.Sleep(10 * time.Second)
+					got, second := send()
+					want, runs := test.retry, 1-test.runs
+					if idempotent {
+						want = "200"
+					}
+					if want != "200" {
+						runs = 0
+					} else if idempotent {
+						runs = 1
+					}
+					b.want("retry", got, want)
+					b.wantRuns(second, runs)
+					b.wantRuns(first, test.runs)
+					if got := b.server.IdentityRuns("s", "identity"); !idempotent && got > 1 {
+						b.Errorf("the identity ran %d times", got)
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/standin/grants.go
+++ b/internal/standin/grants.go
@@ -159,6 +159,13 @@
 	return granted
 }
 
+// DropGrants forgets all grants and tokens, as a restart does.
+func (s *Server) DropGrants() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.grants = newGrantTable()
+}
+
 func writeJSON(w http.ResponseWriter, document any) {
 	w.Header().Set("Content-Type", "application/json")
 	// The home drops an answer that it cannot read.
