home: hand identities over and let long requests start

A request whose usual time exceeds the lease never started, because its end was compared with the lease and the grant; now only its start must lie within them, and its end within the lease plus the excess. Waiting requests of a lost server of an undivided service are refused as not run, so that another server takes them. The record of request identities can be handed to the next home of the server, so that a planned stop refuses no UUIDv7 from before it.

--- a/internal/home/admit.go
+++ b/internal/home/admit.go
@@ -34,7 +34,7 @@
 	if d.leaving || d.closed {
 		return notHome()
 	}
-	if !now.Before(d.config.leaseEnd()) {
+	if !now.Before(d.config.Lease()) {
 		return leaseEnded()
 	}
 	if !now.Before(t.req.Deadline) {
@@ -42,7 +42,7 @@
 	}
 	if d.whole != nil {
 		t.scope = d.whole
-		return d.drainProblem(now)
+		return d.unusable(now)
 	}
 	if state := d.hotKeys[t.req.Key]; state != nil {
 		t.scope = state
@@ -58,13 +58,17 @@
 	return nil
 }
 
-// drainProblem refuses requests that another backend server can take. Requests of a divided service wait
-// for the new owner instead.
-func (d *Dispatcher) drainProblem(now time.Time) *outcome.Problem {
-	if d.health.judgement == HealthDraining && d.health.usableSlots(now, d.config.Slots) == 0 {
+// unusable refuses requests that another backend server can take. Requests of a divided service wait for the
+// new owner instead.
+func (d *Dispatcher) unusable(now time.Time) *outcome.Problem {
+	switch {
+	case d.health.usableSlots(now, d.config.Slots) > 0:
+		return nil
+	case d.health.judgement == HealthDown:
+		return serverDown()
+	default:
 		return draining()
 	}
-	return nil
 }
 
 // identify records the request identity of a request that must not run twice.
--- a/internal/home/config.go
+++ b/internal/home/config.go
@@ -99,7 +99,8 @@
 	return c
 }
 
-// leaseEnd returns the time at which everything that the home causes ends.
-func (c *Config) leaseEnd() time.Time {
+// lastDeadline returns the latest deadline of a request. The holder waits for the excess of a long execution
+// in addition to the lease before it moves partitions.
+func (c *Config) lastDeadline() time.Time {
 	return c.Lease().Add(max(0, c.MaxRequest-DefaultMaxRequest))
 }
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -61,7 +61,7 @@
 	defer d.mu.Unlock()
 	d.markReleased(now)
 	d.recordHealth()
-	if !now.Before(d.config.leaseEnd()) {
+	if !now.Before(d.config.Lease()) {
 		d.refuseAll(leaseEnded())
 	}
 	d.pump(now)
@@ -128,7 +128,7 @@
 func (d *Dispatcher) noteGrants(set backend.GrantSet) time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	expires := d.config.leaseEnd()
+	expires := d.config.Lease()
 	for _, grant := range set.Grants {
 		if state := d.lookup(grant.Scope); state != nil {
 			state.withdrawn = false
--- a/internal/home/dispatcher_test.go
+++ b/internal/home/dispatcher_test.go
@@ -318,6 +318,34 @@
 	})
 }
 
+// TestLongRequests guards against services whose executions are longer than the home lease and never start.
+func TestLongRequests(t *testing.T) {
+	for _, config := range []Config{{Keyed: true, Fenced: true, Slots: 1}, {Slots: 1}} {
+		config.MaxRequest = 3 * time.Second
+		onBench(t, config, standin.Options{ServiceTime: 2 * time.Second}, func(b *bench) {
+			for range 3 {
+				b.want("long", b.do(b.Context(), b.request(nil)), "200")
+			}
+		})
+	}
+}
+
+// TestLostUndividedServer guards against requests that wait for a lost server although others can take them.
+func TestLostUndividedServer(t *testing.T) {
+	onBench(t, unkeyed, standin.Options{}, func(b *bench) {
+		b.server.Freeze()
+		waiting := make([]<-chan string, 6)
+		for i := range waiting {
+			waiting[i] = b.start(b.Context(), b.request(nil))
+		}
+		time.Sleep(time.Second)
+		b.want("running", <-waiting[0], "timeout unknown")
+		b.want("waiting", <-waiting[5], "connect-failed not-run")
+		b.want("afterwards", b.do(b.Context(), b.request(nil)), "connect-failed not-run")
+		b.server.Thaw()
+	})
+}
+
 // TestHealth guards against judgements that follow wrong reports instead of own observations.
 func TestHealth(t *testing.T) {
 	tests := []struct {
@@ -514,3 +542,30 @@
 		}
 	})
 }
+
+// TestHandOver guards against a retry that runs again at the next home of the server, and against first
+// requests that are refused because the record of identities is new.
+func TestHandOver(t *testing.T) {
+	for _, config := range []Config{fenced, unkeyed} {
+		onBench(t, config, standin.Options{ServiceTime: 20 * time.Millisecond}, func(b *bench) {
+			time.Sleep(time.Second)
+			ran, unused := uuidV7(time.Now()), uuidV7(time.Now().Add(-time.Millisecond))
+			old := b.dispatcher
+			b.want("first", b.do(b.Context(), b.request(identity(ran))), "200")
+			if err := old.Leave(b.Context()); err != nil {
+				b.Fatal(err)
+			}
+			next := old.config
+			b.dispatcher = Open(next, b.server.Client())
+			b.own(2, false)
+			b.want("without the record", b.do(b.Context(), b.request(identity(ran))), "request-identity-too-old unknown")
+			b.dispatcher.ImportIdentities(old.ExportIdentities())
+			old.Close()
+			b.want("retry", b.do(b.Context(), b.request(identity(ran))), "repeated-request ran")
+			b.want("unused", b.do(b.Context(), b.request(identity(unused))), "200")
+			if got := b.server.IdentityRuns("s", ran); got != 1 {
+				b.Errorf("the identity ran %d times", got)
+			}
+		})
+	}
+}
--- a/internal/home/problems.go
+++ b/internal/home/problems.go
@@ -29,6 +29,10 @@
 	return refuse(outcome.KindDraining, "the backend server takes no new requests; send the request again")
 }
 
+func serverDown() *outcome.Problem {
+	return refuse(outcome.KindConnect, "the backend server does not answer; send the request again to another one")
+}
+
 func deadlinePassed() *outcome.Problem {
 	return outcome.New(outcome.KindDeadline, http.StatusGatewayTimeout, outcome.NotRun,
 		"the request did not get a slot before its deadline; send it again with more time")
--- a/internal/home/pump.go
+++ b/internal/home/pump.go
@@ -22,10 +22,11 @@
 		d.begin(t, now)
 		close(t.ready)
 	}
-	if d.whole != nil && d.drainProblem(now) != nil {
-		for _, t := range waitingInOrder(d.whole) {
-			d.refuseTicket(t, draining())
-		}
+	if d.whole == nil {
+		return
+	}
+	if problem := d.unusable(now); problem != nil {
+		d.refuseAll(problem)
 	}
 }
 
@@ -38,12 +39,14 @@
 	if d.closed || d.busy >= d.health.usableSlots(now, d.config.Slots) {
 		return false
 	}
-	// A request that would be cut by the end of the lease waits for the renewal instead.
-	needed := now.Add(max(minRemaining, min(2*d.serviceTime, d.config.MaxRequest)))
-	if needed.After(d.config.leaseEnd()) {
+	// A request that would be cut by the end of the lease waits for the renewal instead. The grant is only
+	// needed when the execution starts.
+	starts := now.Add(minRemaining)
+	ends := now.Add(max(minRemaining, min(2*d.serviceTime, d.config.MaxRequest)))
+	if starts.After(d.config.Lease()) || ends.After(d.config.lastDeadline()) {
 		return false
 	}
-	return !d.config.Fenced || !needed.After(d.grantedUntil)
+	return !d.config.Fenced || !starts.After(d.grantedUntil)
 }
 
 // begin takes a slot and fixes what the backend server gets.
@@ -66,7 +69,7 @@
 	if caller.Before(deadline) {
 		deadline = caller
 	}
-	if end := d.config.leaseEnd(); end.Before(deadline) {
+	if end := d.config.lastDeadline(); end.Before(deadline) {
 		deadline = end
 	}
 	return deadline
