--- a/internal/accept/accepter.go
+++ b/internal/accept/accepter.go
@@ -171,7 +171,7 @@
 	return current, nil
 }
 
-// next applies the edit and numbers the result.
+// next applies the edit, numbers the result and carries over what the operators do not edit.
 func (a *Accepter) next(current *config.Config, e edit) (*config.Config, error) {
 	next, record, err := e.apply(current)
 	if err != nil {
@@ -180,8 +180,9 @@
 	if err := next.Validate(); err != nil {
 		return nil, err
 	}
-	next.Revision, next.ID, next.History = 1, e.id(), nil
+	next.Revision, next.ID, next.Placements, next.History = 1, e.id(), nil, nil
 	if current != nil {
+		next.KeepPlacements(current)
 		next.Revision = current.Revision + 1
 		next.History = append(next.History, current.History...)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,6 +18,8 @@
 	Services   []Service  `json:"services"`
 	// Stops are the announced planned stops of hosts and backend servers.
 	Stops []Stop `json:"stops,omitempty"`
+	// Placements holds the placements that accepts stored.
+	Placements []StoredPlacement `json:"placements,omitempty"`
 	// History holds the latest accepts, oldest first.
 	History []Accepted `json:"history,omitempty"`
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -184,6 +184,16 @@
 		large.Hosts = append(large.Hosts, Host{Name: fmt.Sprintf("kyu-fukuoka-h%05d", i), Zone: "a", Cell: fmt.Sprintf("a-c%03d", i/12),
 			PeerAddress: fmt.Sprintf("10.1.%d.%d:7000", i/250, i%250), CallerAddress: fmt.Sprintf("10.1.%d.%d:7001", i/250, i%250)})
 	}
+	placement := &Placement{}
+	for i := range 917 {
+		placement.Cells = append(placement.Cells, fmt.Sprintf("a-c%03d", i))
+	}
+	for i := range uint64(65536) {
+		placement.ByPartition = append(placement.ByPartition, uint16(mix(i)%917))
+	}
+	for _, service := range []string{"tracker", "draftdesk", "drafts"} {
+		large.Placements = append(large.Placements, newStoredPlacement(service, placement))
+	}
 	for _, c := range []*Config{small(), large} {
 		document, err := c.Encode()
 		if err != nil || len(document) > MaxDocumentBytes {
--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -65,7 +65,7 @@
 }
 
 // Diff returns what next changes compared with c. Revision, id and history are not compared. It computes the
-// placements whose weights change.
+// placements that change.
 func (c *Config) Diff(next *Config) Difference {
 	return Difference{Changes: c.Changes(next), Moves: c.moves(next)}
 }
--- a/internal/config/encode.go
+++ b/internal/config/encode.go
@@ -103,6 +103,7 @@
 	clone.Zones = append([]Zone(nil), c.Zones...)
 	clone.Hosts = append([]Host(nil), c.Hosts...)
 	clone.Stops = append([]Stop(nil), c.Stops...)
+	clone.Placements = append([]StoredPlacement(nil), c.Placements...)
 	clone.History = append([]Accepted(nil), c.History...)
 	clone.Services = append([]Service(nil), c.Services...)
 	for i := range clone.Services {
--- a/internal/config/history.go
+++ b/internal/config/history.go
@@ -72,10 +72,11 @@
 	return text[:end] + mark
 }
 
-// Digest identifies the content apart from revision, id, planned stops and history.
+// Digest identifies the content apart from revision, id, planned stops, placements and history.
 func (c *Config) Digest() string {
 	content := *c
-	content.Revision, content.ID, content.Stops, content.History = 0, "", nil, nil
+	content.Revision, content.ID = 0, ""
+	content.Stops, content.Placements, content.History = nil, nil, nil
 	text, err := json.Marshal(content)
 	if err != nil {
 		// Only weights that are no numbers cannot be encoded, and Validate refuses them.
--- a/internal/config/moves.go
+++ b/internal/config/moves.go
@@ -36,13 +36,20 @@
 		if c.sameWeights(before, next, after) {
 			continue
 		}
-		if moves := comparePlacements(after.Name, c.Place(before), next.Place(after)); moves.Moved > 0 {
+		if moves := comparePlacements(after.Name, c.Place(before), c.placeNext(next, after)); moves.Moved > 0 {
 			all = append(all, moves)
 		}
 	}
 	return all
 }
 
+// placeNext returns the placement that the service will have once next is accepted after c.
+func (c *Config) placeNext(next *Config, s *Service) *Placement {
+	planned := *next
+	planned.KeepPlacements(c)
+	return planned.Place(s)
+}
+
 // sameWeights reports whether the placements of both revisions are the same, without computing them.
 func (c *Config) sameWeights(before *Service, next *Config, after *Service) bool {
 	cells, weights := c.cellWeights(before)
--- a/internal/config/placement.go
+++ b/internal/config/placement.go
@@ -24,18 +24,23 @@
 	return p.Cells[p.ByPartition[partition]]
 }
 
-// Place computes the placement of a keyed service. The share of each cell is exact within one partition of the
-// weight of its servers. The placement depends on the configuration alone, yet a change of weights moves little
-// more than the least possible: each partition goes to the cell with the smallest score, as in weighted
-// rendezvous hashing, and the weights are corrected until the shares are exact.
+// Place returns the placement of a keyed service. The share of each cell is exact within one partition of the weight
+// of its servers. The placement is the stored one if it fits. Otherwise it is computed: each partition goes to the
+// cell with the smallest score, as in weighted rendezvous hashing, and the weights are corrected until the shares are
+// exact.
 //
-// The cost is that of one hash for each pair of partition and cell, so callers keep the result while cells and
-// weights stay the same.
+// The cost of the computation is that of one hash for each pair of partition and cell, so callers keep the result
+// while cells and weights stay the same.
 func (c *Config) Place(s *Service) *Placement {
 	cells, weights := c.cellWeights(s)
 	if len(cells) == 0 || s.Partitions == 0 {
 		return &Placement{}
 	}
+	if stored, ok := c.storedPlacement(s.Name); ok {
+		if placement := stored.decode(s.Partitions, cells, weights); placement != nil {
+			return placement
+		}
+	}
 	placer := newPlacer(s, cells, weights)
 	placer.settle()
 	placer.repair()
@@ -63,8 +68,9 @@
 	return cells, weights
 }
 
-// quotas divides the partitions by weight with the method of largest remainders.
-func quotas(partitions int, weights []float64) []int {
+// quotas divides the partitions by weight and rounds down or up. Cells that hold more than the lower number are rounded
+// up first, then those with the largest remainders. held can be nil.
+func quotas(partitions int, weights []float64, held []int) []int {
 	total := 0.0
 	for _, weight := range weights {
 		total += weight
@@ -80,7 +86,15 @@
 		order[i] = i
 		left -= shares[i]
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(remainders[b], remainders[a]) })
+	holdsMore := func(i int) int {
+		if held != nil && held[i] > shares[i] && remainders[i] > 0 {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(holdsMore(b), holdsMore(a)), cmp.Compare(remainders[b], remainders[a]))
+	})
 	for i := range left {
 		shares[order[i]]++
 	}
--- a/internal/config/placer.go
+++ b/internal/config/placer.go
@@ -35,7 +35,7 @@
 
 func newPlacer(s *Service, cells []string, weights []float64) *placer {
 	p := &placer{
-		quota:        quotas(s.Partitions, weights),
+		quota:        quotas(s.Partitions, weights, nil),
 		count:        make([]int, len(cells)),
 		costs:        make([]float64, len(cells)),
 		chosen:       make([]uint16, s.Partitions),
