--- a/internal/assign/tracker.go
+++ b/internal/assign/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -115,9 +116,10 @@
 		inForce[overrides[i].Key] = true
 		t.start(overrides[i].Key)
 	}
-	for key, tracked := range t.keys {
+	// Sums of floating point numbers depend on their order.
+	for _, key := range slices.Sorted(maps.Keys(t.keys)) {
 		if !inForce[key] {
-			t.rates[t.partition(key)] += tracked.average.Rate() * t.weight.weight
+			t.rates[t.partition(key)] += t.keys[key].average.Rate() * t.weight.weight
 			delete(t.keys, key)
 		}
 	}
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -19,35 +19,37 @@
 
 func joinExperiment() Experiment {
 	return fleetExperiment("join", "A cold server joins 16 servers with uniform keys.", func(config *modelConfig) {
-		config.least = 1 / float64(config.servers+1)
-		config.event = func(now time.Duration, servers []assign.Server) []assign.Server {
-			if now == eventAt {
-				return append(servers, assign.Server{Name: serverName(len(servers)), State: assign.Up, ColdSince: now})
-			}
-			return servers
-		}
+		config.event = joinEvent
 	})
 }
 
+// joinEvent adds a cold server.
+func joinEvent(now time.Duration, servers []assign.Server) []assign.Server {
+	if now == eventAt {
+		return append(servers, assign.Server{Name: serverName(len(servers)), State: assign.Up, ColdSince: now})
+	}
+	return servers
+}
+
 func leaveExperiment() Experiment {
 	return fleetExperiment("leave", "One of 16 servers drains and leaves, with uniform keys.", func(config *modelConfig) {
-		config.least = 1 / float64(config.servers)
-		config.event = func(now time.Duration, servers []assign.Server) []assign.Server {
-			if now == eventAt {
-				drain(&servers[0], now)
-			}
-			stopDrained(now, servers)
-			return servers
-		}
+		config.event = leaveEvent
 	})
 }
 
+// leaveEvent drains the first server and stops it.
+func leaveEvent(now time.Duration, servers []assign.Server) []assign.Server {
+	if now == eventAt {
+		drain(&servers[0], now)
+	}
+	stopDrained(now, servers)
+	return servers
+}
+
 func rollingExperiment() Experiment {
 	return fleetExperiment("rolling", "Each of 16 servers is drained and replaced by a cold one, with uniform keys.", func(config *modelConfig) {
 		count := config.servers
 		config.seconds = (count + 1) * int(replaceEvery/time.Second)
-		// Each replacement moves the share of one server away from it and again to its replacement.
-		config.least = 1 + float64(count-1)/float64(count)
 		config.event = func(now time.Duration, servers []assign.Server) []assign.Server {
 			server := int(now/replaceEvery) - 1
 			if server < 0 || server >= count {
--- /dev/null
+++ b/internal/bench/main_test.go
@@ -0,0 +1,92 @@
+package bench
+
+import (
+	"bytes"
+	"encoding/csv"
+	"encoding/xml"
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// Guards the exit codes and the texts that scripts and operators rely on.
+func TestMainExitCodes(t *testing.T) {
+	cases := []struct {
+		args string
+		code int
+		want string
+	}{
+		{"--help", exitDone, "--seed"},
+		{"--version", exitDone, "cores"},
+		{"--list", exitDone, "rolling"},
+		{"--experiment nothing", exitUsage, "--list names all"},
+		{"--seed many", exitUsage, "seed"},
+		{"--unknown", exitUsage, "unknown"},
+		{"shift", exitUsage, "--experiment"},
+		{"-e cost -o " + filepath.Join(os.DevNull, "x"), exitFailed, "failed"},
+	}
+	for _, c := range cases {
+		if c.code == exitFailed && testing.Short() {
+			continue
+		}
+		var out bytes.Buffer
+		if code := Main(strings.Fields(c.args), &out, &out); code != c.code || !strings.Contains(out.String(), c.want) {
+			t.Errorf("plank-bench %s: exit code %d, want %d; output without %q:\n%s", c.args, code, c.code, c.want, out.String())
+		}
+	}
+}
+
+// Guards against files that other programs cannot read, and against names that break the markup.
+func TestSavedFilesAreWellFormed(t *testing.T) {
+	chart := &Chart{Name: "line", XLabel: "a & b", YLabel: "<y>", Lines: []Line{{Name: "one", Points: []Point{{1, 2}, {3, 4}}}, {Name: "flat", Points: []Point{{1, 2}}}}}
+	report := &Report{Experiment: "x", Measurements: []*Measurement{{System: "a, \"b\""}, {System: "c"}}, Charts: []*Chart{chart, {Name: "empty"}}}
+	report.Measurements[0].Churn = &Churn{Moved: 0.5, Least: 0.25, Moves: 3}
+	directory := filepath.Join(t.TempDir(), "new")
+	if err := report.save(directory); err != nil {
+		t.Fatal(err)
+	}
+	files, err := filepath.Glob(filepath.Join(directory, "*"))
+	if err != nil || len(files) != 6 {
+		t.Fatalf("files %v, %v, want 6", files, err)
+	}
+	for _, name := range files {
+		content, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		switch filepath.Ext(name) {
+		case ".csv":
+			if _, err := csv.NewReader(bytes.NewReader(content)).ReadAll(); err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+		case ".svg":
+			decoder := xml.NewDecoder(bytes.NewReader(content))
+			for err == nil {
+				_, err = decoder.Token()
+			}
+			if !errors.Is(err, io.EOF) {
+				t.Errorf("%s: %v", name, err)
+			}
+		}
+	}
+	rows := report.rows()
+	churn := slices.IndexFunc(rows, func(r row) bool { return r.quantity == "churn" })
+	if churn < 0 || !slices.Equal(rows[churn].values, []string{"2", notMeasured}) {
+		t.Errorf("rows %+v, want a churn of 2 for the first system only", rows)
+	}
+}
+
+// Guards against a wrong slope on the capacity page.
+func TestFitLine(t *testing.T) {
+	fit := fitLine([]Point{{0, 1}, {1, 3}, {2, 5}})
+	if fit.Slope != 2 || fit.Intercept != 1 || fit.R2 != 1 {
+		t.Errorf("fit %+v, want slope 2 and intercept 1", fit)
+	}
+	if noisy := fitLine([]Point{{0, 0}, {1, 1}, {2, 0}}); noisy.Slope != 0 || noisy.R2 != 0 {
+		t.Errorf("fit %+v of points without a trend", noisy)
+	}
+}
--- a/internal/bench/model.go
+++ b/internal/bench/model.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sapphireplank/sapphireplank/internal/assign"
@@ -39,8 +40,6 @@
 	slots       int
 	utilization float64
 	target      float64
-	// least is the share of the keys that had to move.
-	least float64
 	// event changes the servers before each round.
 	event func(now time.Duration, servers []assign.Server) []assign.Server
 }
@@ -70,14 +69,16 @@
 	servers  []assign.Server
 	queues   []*slotQueue
 	// counts holds the requests of each server in this second.
-	counts    []float64
-	meter     *imbalanceMeter
-	gaps      *gapMeter
-	latency   latencyHistogram
-	service   latencyHistogram
-	requests  int
-	refused   int
-	moved     movement
+	counts   []float64
+	meter    *imbalanceMeter
+	gaps     *gapMeter
+	latency  latencyHistogram
+	service  latencyHistogram
+	requests int
+	refused  int
+	moved    movement
+	// least is the share of the keys that had to move.
+	least     float64
 	roundTime time.Duration
 	rounds    int
 	// changed is true if rates or owners changed since the last reading of the imbalance.
@@ -98,15 +99,22 @@
 	}
 	m.meter = newImbalanceMeter(work)
 	m.gaps = newGapMeter(len(work.names))
-	for i := range config.servers {
-		m.servers = append(m.servers, assign.Server{Name: serverName(i), State: assign.Up, ColdSince: assign.Warm})
-	}
+	m.servers = serversUp(config.servers)
 	for second := range config.seconds {
 		m.second(second)
 	}
 	return m
 }
 
+// serversUp returns warm servers.
+func serversUp(count int) []assign.Server {
+	servers := make([]assign.Server, count)
+	for i := range servers {
+		servers[i] = assign.Server{Name: serverName(i), State: assign.Up, ColdSince: assign.Warm}
+	}
+	return servers
+}
+
 // second runs one second of model time.
 func (m *modelRun) second(second int) {
 	if m.config.shiftSeconds > 0 && second > 0 && second%m.config.shiftSeconds == 0 {
@@ -132,7 +140,9 @@
 // round lets the system decide the owners.
 func (m *modelRun) round(at time.Duration, measured bool) {
 	if m.config.event != nil {
+		before := slices.Clone(m.servers)
 		m.servers = m.config.event(at, m.servers)
+		m.addLeast(before)
 	}
 	for len(m.queues) < len(m.servers) {
 		m.queues = append(m.queues, newSlotQueue(m.config.slots))
@@ -155,6 +165,25 @@
 	}
 }
 
+// addLeast adds the keys that a change of the servers forces to move: all of a server that leaves, and the share of
+// one that joins.
+func (m *modelRun) addLeast(before []assign.Server) {
+	for i := range m.servers {
+		if i >= len(before) {
+			m.least += 1 / float64(len(eligibleServers(m.servers)))
+			continue
+		}
+		if before[i].State != assign.Up || m.servers[i].State == assign.Up {
+			continue
+		}
+		for key := range m.work.names {
+			if m.router.ownerOf(int32(key)) == int32(i) {
+				m.least += 1 / float64(m.config.keys)
+			}
+		}
+	}
+}
+
 // offer sends the requests of one step.
 func (m *modelRun) offer(at time.Duration, measured bool) {
 	count := m.config.servers * m.config.rate / stepsPerSecond
@@ -183,7 +212,7 @@
 
 // measurement returns the results of the run.
 func (m *modelRun) measurement() *Measurement {
-	churn := &Churn{Moved: float64(m.moved.keys) / float64(m.config.keys), Least: m.config.least, Moves: m.moved.moves}
+	churn := &Churn{Moved: float64(m.moved.keys) / float64(m.config.keys), Least: m.least, Moves: m.moved.moves}
 	return &Measurement{
 		System: m.router.name(),
 		Imbalance: &Imbalance{
--- a/internal/bench/rendezvous.go
+++ b/internal/bench/rendezvous.go
@@ -17,7 +17,6 @@
 	hashes []uint64
 	// eligible are the servers of the last round that may own keys.
 	eligible []int
-	down     []bool
 }
 
 func newRendezvousRouter(work *workload) *rendezvousRouter {
