confsync: add state machine for the revision in force, and its simulation

Cause: an accepted configuration must reach every gateway within 7 s and never revert, also with two simultaneous faults. Change: Node (start, pulls, exchanges, watches, write-back), Accept, patches between revisions, wire form, and confsim, a network on simulated time. A document comes in force once a second gateway of the cell holds it; without that rule the property test finds a gateway that goes back when it is lost together with the store right after it has seen a new revision. Two accepts with one revision, which only a restored store can cause, are settled by accepting the store's document again with the next revision. store: Peek for simulations; errors of interrupted calls work with both errors packages.

--- /dev/null
+++ b/internal/confsync/document.go
@@ -0,0 +1,29 @@
+package confsync
+
+// Version identifies one accepted configuration.
+type Version struct {
+	// Revision is 0 if there is no configuration.
+	Revision uint64
+	// ID identifies the accept.
+	ID string
+}
+
+// conflicts says whether both are different accepts with the same revision.
+func (v Version) conflicts(other Version) bool {
+	return v.Revision == other.Revision && v.Revision != 0 && v.ID != other.ID
+}
+
+// Document is one accepted configuration. It is immutable.
+type Document struct {
+	Version
+	// Bytes is the encoded configuration.
+	Bytes []byte
+}
+
+// State is what a gateway tells its peers in heartbeats and exchanges.
+type State struct {
+	// Version is the greatest that the gateway holds. It may not be in force yet.
+	Version
+	// Disputed is true if another accept with the same revision is known to be in force on some gateway.
+	Disputed bool
+}
--- /dev/null
+++ b/internal/confsync/node_test.go
@@ -0,0 +1,219 @@
+package confsync
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/sapphireplank/sapphireplank/internal/config"
+)
+
+func testDocument(revision uint64, id string) Document {
+	return Document{Version: Version{Revision: revision, ID: id}, Bytes: fmt.Appendf(nil, "%d %s", revision, id)}
+}
+
+func testNode() *Node {
+	return New(Options{Self: "h1", Random: func(int) int { return 0 }})
+}
+
+// answer gives the pending request of n a result and returns the output.
+func answer(n *Node, now time.Duration, r StoreResult) Output {
+	r.Seq = n.store.call.Seq
+	return n.StoreResult(now, r)
+}
+
+// Guards against a gateway that is alone and starts from a stale read: the value counts only after a write has
+// confirmed it.
+func TestStartAloneConfirmsTheStore(t *testing.T) {
+	n := testNode()
+	n.Start(0, []string{"h2"})
+	answer(n, 1, StoreResult{Version: 6, Document: testDocument(6, "a")})
+	n.Configure(2, Topology{Cell: "c", Cells: []Cell{{Name: "c", Hosts: []string{"h1", "h2"}}}})
+	n.Tick(StartWait)
+	write := n.store.call
+	if n.InForce().Revision != 0 || write.Kind != StoreWrite || write.Version != 6 || write.Document.ID != "a" {
+		t.Fatalf("in force %v, request %+v", n.InForce().Version, write)
+	}
+	answer(n, StartWait, StoreResult{Err: StoreConflict})
+	n.Tick(StartWait + RetryInterval)
+	answer(n, StartWait+RetryInterval, StoreResult{Version: 7, Document: testDocument(7, "b")})
+	n.Configure(StartWait+RetryInterval, n.topology)
+	out := answer(n, StartWait+2*RetryInterval, StoreResult{Version: 8})
+	if out.InForce == nil || out.InForce.Revision != 7 {
+		t.Fatalf("in force %v, output %+v, call %+v", n.InForce().Version, out, n.store.call)
+	}
+}
+
+// Guards against store calls by gateways that are neither holder nor successor of the zone's first cell, and against
+// a watch that is left behind.
+func TestOnlyWatchersCallTheStore(t *testing.T) {
+	n := testNode()
+	topology := Topology{Cell: "c", Holder: "h1", Watcher: true}
+	n.Accepted(0, testDocument(1, "a"))
+	n.Configure(0, topology)
+	out := answer(n, 1, StoreResult{Version: 1, Document: testDocument(1, "a")})
+	if len(out.Store) != 1 || out.Store[0].Kind != StoreWatch || out.Store[0].Version != 1 {
+		t.Fatalf("watcher asked %+v", out.Store)
+	}
+	topology.Watcher = false
+	out = n.Configure(2, topology)
+	if len(out.Store) != 1 || out.Store[0].Kind != StoreStop || out.Store[0].Seq != 2 {
+		t.Fatalf("former watcher asked %+v", out.Store)
+	}
+	for now := time.Duration(3); now < time.Minute; now += time.Second {
+		if out := n.Tick(now); len(out.Store) != 0 {
+			t.Fatalf("at %v asked %+v", now, out.Store)
+		}
+	}
+}
+
+// Guards against an accept that reports the wrong outcome after lost answers, stale reads and races.
+func TestAcceptOutcomes(t *testing.T) {
+	const write, read = StoreWrite, StoreRead
+	seen := Version{Revision: 4, ID: "seen"}
+	at := func(revision uint64, id string) StoreResult {
+		return StoreResult{Version: revision, Document: testDocument(revision, id)}
+	}
+	ok, lost, conflict := StoreResult{Version: 5}, StoreResult{Err: StoreUnavailable}, StoreResult{Err: StoreConflict}
+	type step struct {
+		request StoreKind
+		result  StoreResult
+	}
+	for name, test := range map[string]struct {
+		steps []step
+		want  AcceptOutcome
+	}{
+		"accepted":             {[]step{{read, at(4, "seen")}, {write, ok}}, AcceptDone},
+		"restored store":       {[]step{{read, at(2, "old")}, {write, ok}}, AcceptDone},
+		"empty store":          {[]step{{read, StoreResult{Err: StoreNotFound}}, {write, ok}}, AcceptDone},
+		"lost answer":          {[]step{{read, at(4, "seen")}, {write, lost}, {read, at(5, "new")}}, AcceptDone},
+		"lost request":         {[]step{{read, at(4, "seen")}, {write, lost}, {read, at(4, "seen")}, {write, ok}}, AcceptDone},
+		"stale read back":      {[]step{{read, at(4, "seen")}, {write, lost}, {read, at(4, "seen")}, {write, conflict}, {read, at(5, "new")}}, AcceptDone},
+		"other was first":      {[]step{{read, at(5, "other")}}, AcceptConflict},
+		"other won the race":   {[]step{{read, at(4, "seen")}, {write, conflict}, {read, at(5, "other")}}, AcceptConflict},
+		"other id":             {[]step{{read, at(4, "other")}}, AcceptConflict},
+		"overtaken":            {[]step{{read, at(4, "seen")}, {write, lost}, {read, at(6, "next")}}, AcceptOvertaken},
+		"never answered":       {[]step{{read, lost}, {read, lost}}, AcceptUnanswered},
+		"write never answered": {[]step{{read, at(4, "seen")}, {write, lost}, {read, lost}}, AcceptUnknown},
+		"write in flight":      {[]step{{read, at(4, "seen")}}, AcceptUnknown},
+	} {
+		a, err := NewAccept(seen, seen, testDocument(5, "new"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, s := range test.steps {
+			if a.Outcome() != AcceptPending || a.Request().Kind != s.request {
+				t.Fatalf("%s: step %d: outcome %q, request %+v", name, i, a.Outcome(), a.Request())
+			}
+			a.Result(StoreResult{Seq: a.Request().Seq + 1, Err: StoreConflict}) // late result of another request
+			s.result.Seq = a.Request().Seq
+			a.Result(s.result)
+		}
+		if a.GiveUp(); a.Outcome() != test.want {
+			t.Errorf("%s: outcome %q, want %q", name, a.Outcome(), test.want)
+		}
+	}
+	if _, err := NewAccept(seen, Version{Revision: 5}, testDocument(6, "x")); !errors.Is(err, ErrOutdated) {
+		t.Errorf("accept behind the gateway: %v", err)
+	}
+	if _, err := NewAccept(seen, seen, testDocument(4, "x")); !errors.Is(err, ErrRevisionOrder) {
+		t.Errorf("accept without a greater revision: %v", err)
+	}
+}
+
+// Guards against patches that make another document, also from another base, and against malformed ones that crash.
+func TestPatch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		word := rapid.SampledFrom([]string{`{"name":"host-0001","zone":"brno-hall","cell":"c"},`, "x", "0123456789abcdef0123456789abcdef", ""})
+		text := func(label string) []byte {
+			var b bytes.Buffer
+			for _, w := range rapid.SliceOfN(word, 0, 20).Draw(t, label) {
+				b.WriteString(w)
+			}
+			return b.Bytes()
+		}
+		base, target := text("base"), text("target")
+		patch := makePatch(base, target)
+		if got, ok := applyPatch(base, patch); !ok || !bytes.Equal(got, target) {
+			t.Fatalf("patch gives %q, %v, want %q", got, ok, target)
+		}
+		if got, ok := applyPatch(text("other"), patch); ok && !bytes.Equal(got, target) {
+			t.Fatalf("patch of another base gives %q", got)
+		}
+		if len(patch) > 0 {
+			patch[rapid.IntRange(0, len(patch)-1).Draw(t, "at")] ^= byte(rapid.IntRange(1, 255).Draw(t, "bits"))
+		}
+		if got, ok := applyPatch(base, patch); ok && !bytes.Equal(got, target) {
+			t.Fatalf("damaged patch gives %q", got)
+		}
+	})
+}
+
+// Guards against a gateway that cannot get over a patch that does not fit: it asks for the whole document.
+func TestBadPatchIsFollowedByTheWholeDocument(t *testing.T) {
+	n := testNode()
+	n.Accepted(0, testDocument(1, "a"))
+	n.PeerState(1, "h2", State{Version: Version{Revision: 2, ID: "b"}})
+	bad := Content{Version: Version{Revision: 2, ID: "b"}, Base: Version{Revision: 1, ID: "a"}, Data: []byte("damaged patch")}
+	out := n.Receive(2, "h2", bad)
+	if len(out.Messages) != 1 || !reflect.DeepEqual(out.Messages[0], Send{To: "h2", Message: Pull{}}) || n.Held().Revision != 1 {
+		t.Fatalf("output %+v", out)
+	}
+}
+
+// Guards against messages that change on the wire.
+func TestMarshal(t *testing.T) {
+	v, w := Version{Revision: 3, ID: "x"}, Version{Revision: 4, ID: "y"}
+	for _, m := range []Message{
+		Exchange{State: State{Version: v, Disputed: true}, Cell: "c", Holder: "h", Reply: true}, Exchange{},
+		Pull{Have: v}, Pull{}, Content{Version: w, Base: v, Data: []byte("d")}, Content{Version: w, Data: []byte("d")},
+	} {
+		data, err := Marshal(m)
+		got, readErr := Unmarshal(data)
+		if err != nil || readErr != nil || !reflect.DeepEqual(got, m) || len(data) != Size(m) {
+			t.Errorf("%+v became %+v, %v, %v", m, got, err, readErr)
+		}
+	}
+	for _, data := range []string{"", "\xff"} {
+		if m, err := Unmarshal([]byte(data)); !errors.Is(err, ErrMessage) {
+			t.Errorf("Unmarshal(%q) = %v, %v", data, m, err)
+		}
+	}
+}
+
+// Guards against configurations that change in the store or by a rebase, and values that pass as another revision.
+func TestEncodeConfig(t *testing.T) {
+	c := &config.Config{Revision: 7, ID: "a", Team: "filtrex", Hosts: []config.Host{{Name: "h1", Cell: "c"}}}
+	document, err := EncodeConfig(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	value, err := EncodeValue(document)
+	if err != nil {
+		t.Fatal(err)
+	}
+	read, err := DecodeValue(value)
+	if err != nil || !reflect.DeepEqual(read, document) {
+		t.Fatalf("value read as %+v, %v", read.Version, err)
+	}
+	rebased, err := RebaseConfig(read, 8)
+	if err != nil || rebased.Version != (Version{Revision: 8, ID: "a+8"}) {
+		t.Fatalf("rebased to %+v, %v", rebased.Version, err)
+	}
+	got, err := DecodeConfig(rebased)
+	if err != nil || got.Team != "filtrex" || len(got.Hosts) != 1 || got.Revision != 8 {
+		t.Fatalf("decoded %+v, %v", got, err)
+	}
+	rebased.Revision = 9
+	if _, err := DecodeConfig(rebased); !errors.Is(err, ErrDocument) {
+		t.Errorf("wrong revision: %v", err)
+	}
+	if _, err := DecodeValue([]byte("x")); !errors.Is(err, ErrDocument) {
+		t.Errorf("malformed value: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/confsync/wire.go
@@ -0,0 +1,95 @@
+package confsync
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sapphireplank/sapphireplank/internal/confsync/confsyncpb"
+)
+
+// ErrMessage is the error of Unmarshal.
+var ErrMessage = errors.New("not a message of the configuration relay; the peer is of another version")
+
+// Marshal returns the wire form of a message.
+func Marshal(m Message) ([]byte, error) {
+	data, err := proto.Marshal(toWire(m))
+	return data, errors.Wrap(err, "marshal message of the configuration relay")
+}
+
+// Size returns the length of the wire form, in bytes.
+func Size(m Message) int {
+	return proto.Size(toWire(m))
+}
+
+// Unmarshal reads the wire form of a message.
+func Unmarshal(data []byte) (Message, error) {
+	var m confsyncpb.Message
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMessage, err)
+	}
+	switch kind := m.GetKind().(type) {
+	case *confsyncpb.Message_Exchange:
+		return exchangeFromWire(kind.Exchange), nil
+	case *confsyncpb.Message_Pull:
+		return Pull{Have: versionFromWire(kind.Pull.GetHave())}, nil
+	case *confsyncpb.Message_Content:
+		return contentFromWire(kind.Content), nil
+	default:
+		return nil, ErrMessage
+	}
+}
+
+func toWire(m Message) *confsyncpb.Message {
+	switch m := m.(type) {
+	case Exchange:
+		return &confsyncpb.Message{Kind: &confsyncpb.Message_Exchange{Exchange: &confsyncpb.Exchange{
+			State:  &confsyncpb.State{Version: versionToWire(m.State.Version), Disputed: m.State.Disputed},
+			Cell:   m.Cell,
+			Holder: m.Holder,
+			Reply:  m.Reply,
+		}}}
+	case Pull:
+		return &confsyncpb.Message{Kind: &confsyncpb.Message_Pull{Pull: &confsyncpb.Pull{Have: versionToWire(m.Have)}}}
+	case Content:
+		return &confsyncpb.Message{Kind: &confsyncpb.Message_Content{Content: &confsyncpb.Content{
+			Version: versionToWire(m.Version),
+			Base:    versionToWire(m.Base),
+			Data:    m.Data,
+		}}}
+	default:
+		return &confsyncpb.Message{}
+	}
+}
+
+func exchangeFromWire(m *confsyncpb.Exchange) Exchange {
+	return Exchange{
+		State: State{
+			Version:  versionFromWire(m.GetState().GetVersion()),
+			Disputed: m.GetState().GetDisputed(),
+		},
+		Cell:   m.GetCell(),
+		Holder: m.GetHolder(),
+		Reply:  m.GetReply(),
+	}
+}
+
+func contentFromWire(m *confsyncpb.Content) Content {
+	return Content{
+		Version: versionFromWire(m.GetVersion()),
+		Base:    versionFromWire(m.GetBase()),
+		Data:    m.GetData(),
+	}
+}
+
+func versionToWire(v Version) *confsyncpb.Version {
+	if v.Revision == 0 {
+		return nil
+	}
+	return &confsyncpb.Version{Revision: v.Revision, Id: v.ID}
+}
+
+func versionFromWire(v *confsyncpb.Version) Version {
+	return Version{Revision: v.GetRevision(), ID: v.GetId()}
+}
--- a/internal/store/faults.go
+++ b/internal/store/faults.go
@@ -64,6 +64,17 @@
 	return nil
 }
 
+// Peek returns the entry from before the last n writes of the key, without a call and whatever the switches say.
+func (m *Memory) Peek(key string, n int) (Entry, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	entry, ok := m.record(key).behind(n)
+	if !ok {
+		return Entry{}, ErrNotFound
+	}
+	return entry.clone(), nil
+}
+
 // ExpireLease ends the lease at once, as if its holder had been paused for longer than its time to live.
 func (m *Memory) ExpireLease(name string) {
 	m.mu.Lock()
--- a/internal/store/memory.go
+++ b/internal/store/memory.go
@@ -3,10 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"sync"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // Memory is the stand-in of the platform's store. Its switches cause the faults that the store can have.
@@ -204,5 +203,5 @@
 // Interrupted returns the error of a call that ended with its context. It is both cause and ErrUnavailable,
 // because a write may have taken effect.
 func Interrupted(cause error) error {
-	return errors.Mark(errors.Wrap(cause, "call to the store ended"), ErrUnavailable)
+	return fmt.Errorf("%w: %w", ErrUnavailable, cause)
 }
