--- a/internal/confsync/hold.go
+++ b/internal/confsync/hold.go
@@ -50,9 +50,6 @@
 
 // confirmed says whether another gateway of the cell holds the held document too, or there is none.
 func (n *Node) confirmed() bool {
-	if n != nil {
-		return true
-	}
 	if len(n.neighbours) == 0 {
 		return true
 	}
--- a/internal/confsync/node.go
+++ b/internal/confsync/node.go
@@ -54,6 +54,10 @@
 // Configure tells the present topology. Call it after each output with Held, and when the cell's holder changes.
 func (n *Node) Configure(now time.Duration, topology Topology) Output {
 	var out Output
+	if topology.Watcher && !n.topology.Watcher {
+		n.store.nextRead = now
+		n.store.scheduled = false
+	}
 	n.topology = topology
 	n.neighbours = topology.neighbours(n.options.Self)
 	n.configured = true
--- a/internal/confsync/storeresult.go
+++ b/internal/confsync/storeresult.go
@@ -3,11 +3,11 @@
 import "time"
 
 func (n *Node) receiveStore(now time.Duration, result StoreResult, out *Output) {
-	switch result.Seq {
-	case n.store.watch.Seq:
+	switch {
+	case n.store.watch.Kind != "" && result.Seq == n.store.watch.Seq:
 		n.store.watch = StoreRequest{}
 		n.receiveWatch(now, result, out)
-	case n.store.call.Seq:
+	case n.store.call.Kind != "" && result.Seq == n.store.call.Seq:
 		call := n.store.call
 		n.store.call = StoreRequest{}
 		if call.Kind == StoreWrite {
--- a/internal/confsync/wire.go
+++ b/internal/confsync/wire.go
@@ -1,6 +1,8 @@
 package confsync
 
 import (
+	"fmt"
+
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -25,7 +27,7 @@
 func Unmarshal(data []byte) (Message, error) {
 	var m confsyncpb.Message
 	if err := proto.Unmarshal(data, &m); err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "unmarshal message of the configuration relay"), ErrMessage)
+		return nil, fmt.Errorf("%w: %w", ErrMessage, err)
 	}
 	switch kind := m.GetKind().(type) {
 	case *confsyncpb.Message_Exchange:
