node: give the accepter the configuration in force

Cause: the accepter now needs the configuration itself to see a store that has lost data. Change: follows its interface. Conclusion: builds again.

--- a/internal/node/sources.go
+++ b/internal/node/sources.go
@@ -36,7 +36,7 @@
 	return &configurer{node: n, Accepter: &accept.Accepter{
 		Store:   n.options.Store,
 		Answers: n.answers,
-		InForce: func(string) uint64 { return n.revisionInForce() },
+		InForce: n.inForce,
 	}}
 }
 
@@ -52,11 +52,12 @@
 	return true
 }
 
-func (n *Node) revisionInForce() uint64 {
-	if view := n.gateway.View(); view != nil {
-		return view.Config.Revision
+// inForce returns the configuration in force of the team, or nil.
+func (n *Node) inForce(team string) *config.Config {
+	if view := n.gateway.View(); view != nil && view.Config.Team == team {
+		return view.Config
 	}
-	return 0
+	return nil
 }
 
 // Current returns the accepted configuration. While the store is down it is the one in force.
