backend: keep what was written with the request

net/http returns a connection to its pool before the caller has seen an answer without a body. When the next request took it and the server closed it, the first request failed, and the guard called it not run, because the next request had reset the flag of the connection.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http/httptrace"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -14,6 +15,8 @@
 type attempt struct {
 	cancel context.CancelCauseFunc
 	conn   *guardedConn
+	// wrote is true once a byte of the request was or may be written.
+	wrote atomic.Bool
 	// reused is true if the connection had carried another request before.
 	reused bool
 	// allowReplay leaves the protection to the other measures. Only tests set it.
@@ -28,17 +31,20 @@
 // gotConn runs before the request is written to a connection, and runs again if net/http repeats it.
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	conn := info.Conn.(*guardedConn)
-	if a.conn != nil && !a.allowReplay && a.conn.seal() {
-		conn.seal()
-		a.cancel(errReplay)
-		return
-	}
+	again := a.abort()
 	a.conn = conn
 	a.reused = info.Reused
-	conn.begin()
+	conn.begin(a)
+	if again && !a.allowReplay {
+		conn.seal(a)
+		a.cancel(errReplay)
+	}
 }
 
 // abort rules out that any byte is written from now on, and reports whether one was or may have been.
 func (a *attempt) abort() bool {
-	return a.conn != nil && a.conn.seal()
+	if a.conn != nil {
+		a.conn.seal(a)
+	}
+	return a.wrote.Load()
 }
