home: probe an unknown server before the first grant

Cause: a new home granted at once; if the server was lost too, its partitions waited 450 ms for three failed renewals and then 650 ms for grants that the server never saw. Change: until a server has answered its home it gets probes only, two failures make it down, and the report carries the true end of grants and requests. Ruled out: a shorter probe timeout, which a slow server would miss.

--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -86,7 +86,7 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.config.Fenced || d.health.judgement == HealthDown || !now.Before(d.config.Lease()) {
+	if !d.config.Fenced || !d.health.known || d.health.judgement == HealthDown || !now.Before(d.config.Lease()) {
 		return backend.GrantSet{}, false, true
 	}
 	dirty = d.setDirty
@@ -163,5 +163,10 @@
 	report, err := d.grantor.Probe(ctx)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	wasKnown := d.health.known
 	d.health.probed(time.Now(), report, err)
+	if d.health.known && !wasKnown {
+		d.setDirty = true
+		d.wakeControl()
+	}
 }
--- a/internal/home/health.go
+++ b/internal/home/health.go
@@ -19,6 +19,9 @@
 const (
 	// failuresUntilDown is reached after 450 ms of failed renewals, within the 2 s for a lost owner.
 	failuresUntilDown = 3
+	// failuresUntilUnknownDown is used for a server that never answered this home. Another home may have lost it
+	// before, and the two waits add up.
+	failuresUntilUnknownDown = 2
 	// probesUntilUp is the number of successive good probes that end the state down.
 	probesUntilUp = 2
 	// ownEvidence is the time for which an answered request outweighs failed probes and bad reports.
@@ -35,6 +38,9 @@
 // and the server's own report, which lag and can be wrong in both directions.
 type healthState struct {
 	judgement Health
+	// known is true once the server has answered this home. Until then it gets probes only: a grant that a lost
+	// server never sees would delay the move of its partitions until the grant is over.
+	known bool
 	// suspect is true while the server reports that it is failing. The report alone has no effect; with it,
 	// one failure is enough.
 	suspect bool
@@ -63,6 +69,7 @@
 
 // answered records a request that the server answered.
 func (h *healthState) answered(now time.Time) {
+	h.known = true
 	h.lastAnswer = now
 	h.failures = 0
 	h.probeFailures = 0
@@ -90,11 +97,12 @@
 	if err != nil {
 		h.good = 0
 		h.probeFailures++
-		if h.probeFailures >= failuresUntilDown && now.Sub(h.lastAnswer) >= ownEvidence {
+		if h.probeFailures >= h.probeLimit() && now.Sub(h.lastAnswer) >= ownEvidence {
 			h.down(now)
 		}
 		return
 	}
+	h.known = true
 	h.probeFailures = 0
 	h.suspect = report.State == backend.StateFailing
 	h.drained(now, report.State == backend.StateDraining)
@@ -108,6 +116,14 @@
 	}
 }
 
+// probeLimit returns the number of failed probes after which the server is down.
+func (h *healthState) probeLimit() int {
+	if h.known {
+		return failuresUntilDown
+	}
+	return failuresUntilUnknownDown
+}
+
 func (h *healthState) drained(now time.Time, draining bool) {
 	switch {
 	case draining && h.drainSince.IsZero():
--- a/internal/home/release.go
+++ b/internal/home/release.go
@@ -74,6 +74,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	report := Report{
+		WorkEnd:     d.workEnd(),
 		Server:      d.config.Server,
 		Health:      d.health.judgement,
 		InProgress:  d.busy,
@@ -97,6 +98,27 @@
 	return report
 }
 
+// workEnd returns the end of everything that this home caused on the server.
+func (d *Dispatcher) workEnd() time.Time {
+	var end time.Time
+	visit := func(state *scopeState) {
+		if state.busyUntil.After(end) {
+			end = state.busyUntil
+		}
+		if d.config.Fenced && !state.withdrawn && state.grantEnd.After(end) {
+			end = state.grantEnd
+		}
+	}
+	d.scopes(visit)
+	for _, state := range d.departed {
+		visit(state)
+	}
+	if last := d.config.lastDeadline(); d.busy > 0 && last.After(end) {
+		end = last
+	}
+	return end
+}
+
 func (s *scopeState) takeLoad() ScopeLoad {
 	load := ScopeLoad{Scope: s.scope, Requests: s.requests, SlotTime: s.slotTime}
 	s.requests = 0
--- a/internal/home/report.go
+++ b/internal/home/report.go
@@ -34,6 +34,9 @@
 	Health Health
 	// Released holds every releasing scope that is released, in each report until the assignment drops it.
 	Released []Released
+	// WorkEnd is the time after which nothing that this home caused on the server can have an effect: the end of
+	// the last grant that was sent and of the last request whose end is not known.
+	WorkEnd time.Time
 	// InProgress and Queued count requests at the time of the report.
 	InProgress int
 	Queued     int
--- a/internal/node/homes.go
+++ b/internal/node/homes.go
@@ -167,6 +167,14 @@
 	return h.start.Add(time.Duration(h.leaseEnd.Load()))
 }
 
+// monotonic converts a time to the time since the start of the process. The zero time is 0.
+func (h *homes) monotonic(t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return t.Sub(h.start)
+}
+
 func (h *homes) close(entry *homeEntry) {
 	h.closing.Add(1)
 	go func() {
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"time"
-
 	"github.com/sapphireplank/sapphireplank/internal/cell"
 	"github.com/sapphireplank/sapphireplank/internal/home"
 )
@@ -20,7 +18,7 @@
 		Servers: []cell.ServerReport{{
 			Server:   r.Server,
 			Up:       r.Health != home.HealthDown,
-			GrantEnd: c.grantEnd(),
+			GrantEnd: c.homes.monotonic(r.WorkEnd),
 		}},
 	}
 	for _, released := range r.Released {
@@ -35,12 +33,6 @@
 	c.homes.reports.Report(report)
 }
 
-// grantEnd bounds the end of everything that this home has caused on the server.
-func (c *reportConverter) grantEnd() time.Duration {
-	excess := time.Duration(c.server.service.MaxRequestMillis)*time.Millisecond - home.DefaultMaxRequest
-	return time.Duration(c.homes.leaseEnd.Load()) + max(0, excess)
-}
-
 func (c *reportConverter) addLoad(report *cell.Report, r home.Report) {
 	service := c.server.service.Name
 	total := 0.0
