--- a/internal/cell/basic_test.go
+++ b/internal/cell/basic_test.go
@@ -19,3 +19,24 @@
 		t.Logf("hosts %d: served after %v, holder %s, pair %+v", hosts, took, w.holder().host, w.holder().node.Pair())
 	}
 }
+
+// TestRaise guards against a solo holder that stays without a successor because all members promised a later
+// generation to a recovery that did not finish.
+func TestRaise(t *testing.T) {
+	w := newWorld(1, testConfig(3, 0), faults{})
+	for w.holder() == nil {
+		w.run(ms)
+	}
+	const promised = 9
+	holder := w.holder()
+	for _, host := range w.hosts {
+		if w.gateways[host] != holder {
+			w.gateways[host].node.promised = promised
+		}
+	}
+	w.run(6 * time.Second)
+	pair := holder.node.Pair()
+	if pair.Generation < promised || pair.Successor.IsZero() || !w.served() || len(w.violations) > 0 {
+		t.Errorf("pair %+v, idle %v, violations %v", pair, w.idle(60*ms), w.violations)
+	}
+}
--- a/internal/cell/claim.go
+++ b/internal/cell/claim.go
@@ -12,6 +12,7 @@
 	attempt uint64
 	since   time.Duration
 	sentAt  time.Duration
+	storeAt time.Duration
 	// granted holds the arbiters, by the seq of their choice, that decided for this gateway.
 	granted map[uint64]bool
 }
@@ -23,7 +24,7 @@
 }
 
 func newClaim(now time.Duration, epoch Epoch, attempt uint64) *claim {
-	return &claim{epoch: epoch, attempt: attempt, since: now, sentAt: -claimRetry, granted: make(map[uint64]bool)}
+	return &claim{epoch: epoch, attempt: attempt, since: now, sentAt: now - claimRetry, storeAt: now - storeClaimRetry, granted: make(map[uint64]bool)}
 }
 
 // currentClaim returns the claim of this gateway and the arbiters that must grant it, or nil.
@@ -49,6 +50,10 @@
 			continue
 		}
 		if a.arbiter.IsStore() {
+			if now-c.storeAt < storeClaimRetry {
+				continue
+			}
+			c.storeAt = now
 			n.claimInStore(now, c.epoch, a.seq, c.attempt)
 			continue
 		}
--- a/internal/cell/constants.go
+++ b/internal/cell/constants.go
@@ -26,6 +26,8 @@
 
 	// claimRetry is the interval between repeats of a claim without a decision.
 	claimRetry = 50 * time.Millisecond
+	// storeClaimRetry is the interval between repeats of a claim in the store without a result.
+	storeClaimRetry = 200 * time.Millisecond
 	// locateInterval is the interval between questions for the holder.
 	locateInterval = 150 * time.Millisecond
 	// locateFor is the time without a holder after which a member looks at the store.
--- /dev/null
+++ b/internal/cell/nodeconfig.go
@@ -0,0 +1,42 @@
+package cell
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/timeline"
+	"github.com/sapphireplank/sapphireplank/internal/wire"
+)
+
+// NodeConfig holds what a Node needs at the start.
+type NodeConfig struct {
+	// Host is the name of the gateway's host in the configuration.
+	Host string
+	// Incarnation is the random value of this process. It must not be 0.
+	Incarnation uint64
+	// WallStart is the wall clock time at monotonic time 0. Only planned stops depend on it.
+	WallStart time.Time
+	// ConfigKey is the store's key of the accepted configuration, and ConfigRevision reads the revision from its value.
+	// With them, a start or recovery waits until Configure was called with the revision that the store has.
+	ConfigKey      string
+	ConfigRevision func(value []byte) (uint64, error)
+	// Random is the source of random delays.
+	Random *rand.Rand
+	// Assign is the assignment policy. Default: AssignEvenly.
+	Assign AssignFunc
+}
+
+// Envelope is a message to the gateway of a host.
+type Envelope struct {
+	To      string
+	Message *wire.Control
+}
+
+// Output is the result of one step. The caller sends, stores and records everything in it.
+type Output struct {
+	Send   []Envelope
+	Store  []StoreRequest
+	Events []timeline.Event
+	// Changed is true if Snapshot returns another view than before the step.
+	Changed bool
+}
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -155,6 +155,7 @@
 // rebase continues a solo authority in a greater generation.
 func (n *Node) rebase(now time.Duration, generation uint64) {
 	h := n.holder
+	n.event("cell/generation-raised", "", "members had promised a later generation to a recovery that did not finish")
 	h.ledger.seal()
 	t := h.ledger.table
 	t.generation = generation
