--- a/internal/home/apply.go
+++ b/internal/home/apply.go
@@ -75,11 +75,7 @@
 // disown removes a scope from the assignment.
 func (d *Dispatcher) disown(state *scopeState) {
 	state.gone = true
-	if state.scope.HotKey != "" {
-		delete(d.hotKeys, state.scope.HotKey)
-	} else {
-		d.partitions[state.scope.Partition] = nil
-	}
+	d.remove(state)
 	for _, t := range waitingInOrder(state) {
 		d.refuseTicket(t, notHome())
 	}
@@ -166,17 +162,33 @@
 
 // insert adds a scope. It returns false for a partition that the service does not have.
 func (d *Dispatcher) insert(state *scopeState) bool {
-	if state.scope.HotKey != "" {
+	switch {
+	case state.scope.HotKey != "":
 		d.hotKeys[state.scope.HotKey] = state
-		return true
-	}
-	if int(state.scope.Partition) >= len(d.partitions) {
+	case int(state.scope.Partition) >= len(d.partitions):
 		return false
+	default:
+		d.partitions[state.scope.Partition] = state
 	}
-	d.partitions[state.scope.Partition] = state
+	state.place = len(d.owned)
+	d.owned = append(d.owned, state)
 	return true
 }
 
+// remove takes a scope out. The last owned scope gets its place.
+func (d *Dispatcher) remove(state *scopeState) {
+	if state.scope.HotKey != "" {
+		delete(d.hotKeys, state.scope.HotKey)
+	} else {
+		d.partitions[state.scope.Partition] = nil
+	}
+	last := len(d.owned) - 1
+	d.owned[state.place] = d.owned[last]
+	d.owned[state.place].place = state.place
+	d.owned[last] = nil
+	d.owned = d.owned[:last]
+}
+
 func waitingInOrder(state *scopeState) []*ticket {
 	tickets := make([]*ticket, 0, len(state.waiting))
 	for t := range state.waiting {
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	log "github.com/sirupsen/logrus"
+
 	"github.com/sapphireplank/sapphireplank/internal/backend"
 	"github.com/sapphireplank/sapphireplank/internal/timeline"
 )
@@ -73,6 +75,7 @@
 		return
 	}
 	d.judged = d.health.judgement
+	log.Infof("home: backend server %s of service %s is %s", d.config.Server, d.config.Service, d.judged)
 	d.config.Recorder.Record(timeline.Event{
 		Kind:    timeline.Kind("home/server-" + string(d.judged)),
 		Service: d.config.Service,
--- a/internal/home/dispatcher.go
+++ b/internal/home/dispatcher.go
@@ -28,6 +28,8 @@
 	// holding counts the requests of held scopes.
 	holding  int
 	arrivals uint64
+	// owned holds every owned scope, so that a cycle does not look at the partitions of other servers.
+	owned []*scopeState
 	// whole is the scope of all requests of a service that is not divided by key.
 	whole      *scopeState
 	partitions []*scopeState
@@ -81,6 +83,7 @@
 	} else {
 		d.whole = newScopeState(backend.Scope{}, now)
 		d.whole.granted = true
+		d.owned = append(d.owned, d.whole)
 	}
 	go d.run()
 	return d
@@ -119,18 +122,10 @@
 	return uint32(100 * (d.busy + d.holding + d.queue.Len()) / d.config.Slots)
 }
 
-// scopes calls visit for each owned scope.
+// scopes calls visit for each owned scope. visit may remove the scope.
 func (d *Dispatcher) scopes(visit func(*scopeState)) {
-	if d.whole != nil {
-		visit(d.whole)
-	}
-	for _, state := range d.partitions {
-		if state != nil {
-			visit(state)
-		}
-	}
-	for _, state := range d.hotKeys {
-		visit(state)
+	for i := len(d.owned) - 1; i >= 0; i-- {
+		visit(d.owned[i])
 	}
 }
 
--- a/internal/home/scope.go
+++ b/internal/home/scope.go
@@ -33,6 +33,8 @@
 	slotTime time.Duration
 	// waiting holds the requests of the scope that wait for a slot or are held back.
 	waiting map[*ticket]struct{}
+	// place is the place among the owned scopes.
+	place int
 	// mark is the number of the last assignment that had the scope.
 	mark uint64
 }
