--- a/internal/confsync/confsim/options.go
+++ b/internal/confsync/confsim/options.go
@@ -25,4 +25,6 @@
 	OnShow func(host *Host)
 	// Started skips the search of fresh gateways at the beginning: all start from the store's value.
 	Started bool
+	// NoWatches cuts the gateways off from the store, except for accepts.
+	NoWatches bool
 }
--- a/internal/confsync/confsim/storelink.go
+++ b/internal/confsync/confsim/storelink.go
@@ -16,7 +16,7 @@
 		host.waiting = false
 		return
 	}
-	if n.unreachable(host) {
+	if n.unreachable(host) || n.options.NoWatches {
 		n.storeFails(host, request)
 		return
 	}
--- a/internal/confsync/confsim/traffic.go
+++ b/internal/confsync/confsim/traffic.go
@@ -8,6 +8,8 @@
 
 // Traffic counts messages and their bytes, sent and received.
 type Traffic struct {
+	// HeartbeatBytes are the bytes of states in heartbeats and their replies.
+	HeartbeatBytes   uint64
 	ExchangeMessages uint64
 	ExchangeBytes    uint64
 	// ContentBytes are the bytes of documents and patches.
@@ -28,6 +30,20 @@
 	}
 }
 
+// Total returns the bytes of all kinds.
+func (t *Traffic) Total() uint64 {
+	return t.HeartbeatBytes + t.ExchangeBytes + t.ContentBytes
+}
+
+// Sum adds other to t.
+func (t *Traffic) Sum(other Traffic) {
+	t.HeartbeatBytes += other.HeartbeatBytes
+	t.ExchangeMessages += other.ExchangeMessages
+	t.ExchangeBytes += other.ExchangeBytes
+	t.ContentBytes += other.ContentBytes
+	t.Pulls += other.Pulls
+}
+
 func (n *Network) send(from *Host, send confsync.Send) {
 	to := n.byName[send.To]
 	from.Traffic.add(send.Message)
@@ -66,6 +82,9 @@
 		return
 	}
 	state := host.Node.State()
+	size := uint64(state.WireSize() + holder.Node.State().WireSize())
+	host.Traffic.HeartbeatBytes += size
+	holder.Traffic.HeartbeatBytes += size
 	if settled(host, state) && settled(holder, state) {
 		return
 	}
@@ -76,7 +95,7 @@
 
 // settled says whether host holds exactly state and has it in force.
 func settled(host *Host, state confsync.State) bool {
-	return host.Node.State() == state && host.InForce() == state.Version
+	return host.Node.State() == state && host.InForce() == host.Node.Held().Version
 }
 
 func (n *Network) heartbeatArrives(holder, member *Host, state confsync.State) {
--- a/internal/confsync/hold.go
+++ b/internal/confsync/hold.go
@@ -95,7 +95,7 @@
 func (n *Node) learnState(now time.Duration, peer string, state State, out *Output) {
 	switch {
 	case state.Revision > n.held.Revision:
-		n.requestPull(now, peer, state.Version, out)
+		n.requestPull(now, peer, state.Revision, out)
 	case state.Revision == n.held.Revision:
 		n.learnEqual(state, peer, out)
 	}
@@ -103,11 +103,12 @@
 }
 
 func (n *Node) learnEqual(state State, peer string, out *Output) {
-	if state.Version == n.held.Version {
+	same := state.Tag == n.held.Tag()
+	if same {
 		n.confirm(peer)
 	}
-	if !n.disputed && (state.Disputed || state.conflicts(n.held.Version)) {
+	if !n.disputed && n.held.Revision != 0 && (state.Disputed || !same) {
 		n.disputed = true
-		out.note(NoteDisputed, n.held.Version, state.Version)
+		out.note(NoteDisputed, n.held.Version, Version{Revision: state.Revision})
 	}
 }
--- a/internal/confsync/node.go
+++ b/internal/confsync/node.go
@@ -42,7 +42,7 @@
 
 // State returns what heartbeats and their replies carry.
 func (n *Node) State() State {
-	return State{Version: n.held.Version, Disputed: n.disputed}
+	return State{Revision: n.held.Revision, Tag: n.held.Tag(), Disputed: n.disputed}
 }
 
 // InForce returns the document in force. Its revision is 0 if there is none.
--- a/internal/confsync/node_test.go
+++ b/internal/confsync/node_test.go
@@ -158,7 +158,7 @@
 func TestBadPatchIsFollowedByTheWholeDocument(t *testing.T) {
 	n := testNode()
 	n.Accepted(0, testDocument(1, "a"))
-	n.PeerState(1, "h2", State{Version: Version{Revision: 2, ID: "b"}})
+	n.PeerState(1, "h2", State{Revision: 2})
 	bad := Content{Version: Version{Revision: 2, ID: "b"}, Base: Version{Revision: 1, ID: "a"}, Data: []byte("damaged patch")}
 	out := n.Receive(2, "h2", bad)
 	if len(out.Messages) != 1 || !reflect.DeepEqual(out.Messages[0], Send{To: "h2", Message: Pull{}}) || n.Held().Revision != 1 {
@@ -170,7 +170,7 @@
 func TestMarshal(t *testing.T) {
 	v, w := Version{Revision: 3, ID: "x"}, Version{Revision: 4, ID: "y"}
 	for _, m := range []Message{
-		Exchange{State: State{Version: v, Disputed: true}, Cell: "c", Holder: "h", Reply: true}, Exchange{},
+		Exchange{State: State{Revision: 3, Tag: 7, Disputed: true}, Cell: "c", Holder: "h", Reply: true}, Exchange{},
 		Pull{Have: v}, Pull{}, Content{Version: w, Base: v, Data: []byte("d")}, Content{Version: w, Data: []byte("d")},
 	} {
 		data, err := Marshal(m)
--- /dev/null
+++ b/internal/confsync/patch_bench_test.go
@@ -0,0 +1,67 @@
+package confsync
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/config"
+)
+
+// targetConfig is a configuration of the target size: 11,000 hosts and 1,000 backend servers.
+func targetConfig() *config.Config {
+	c := &config.Config{Revision: 1000, ID: "01980000-0000-7000-8000-000000000001", Team: "target"}
+	service := config.Service{Name: "tracker", Keyed: true, Partitions: 65536, Slots: 3}
+	for i := range 11_000 {
+		zone, cell := fmt.Sprintf("zone-%02d", i/917), fmt.Sprintf("cell-%03d", i/12)
+		c.Hosts = append(c.Hosts, config.Host{
+			Name: fmt.Sprintf("host-%05d", i), Zone: zone, Cell: cell, Rack: fmt.Sprintf("rack-%d", i%12),
+			PeerAddress:   fmt.Sprintf("10.%d.%d.%d:7401", i>>16, i>>8&255, i&255),
+			CallerAddress: fmt.Sprintf("10.%d.%d.%d:7402", i>>16, i>>8&255, i&255),
+			AdminAddress:  fmt.Sprintf("10.%d.%d.%d:7403", i>>16, i>>8&255, i&255),
+		})
+		if i%11 == 0 {
+			service.Servers = append(service.Servers, config.Server{
+				Name: fmt.Sprintf("tracker-%05d", i), Zone: zone, Cell: cell, Address: fmt.Sprintf("10.9.%d.%d:80", i>>8&255, i&255),
+			})
+		}
+	}
+	c.Services = []config.Service{service}
+	return c
+}
+
+// BenchmarkPatch shows the cost of one changed host and one announced stop at the target size.
+func BenchmarkPatch(b *testing.B) {
+	c := targetConfig()
+	base, err := EncodeConfig(c)
+	if err != nil {
+		b.Fatal(err)
+	}
+	c.Revision, c.ID = 1001, "01980000-0000-7000-8000-000000000002"
+	c.Hosts[5000].PeerAddress = "10.200.1.1:7401"
+	c.Stops = append(c.Stops, config.Stop{Target: "host-06000", At: time.Unix(1_800_000_000, 0).UTC(), ForSeconds: 600})
+	target, err := EncodeConfig(c)
+	if err != nil {
+		b.Fatal(err)
+	}
+	value, err := EncodeValue(target)
+	if err != nil {
+		b.Fatal(err)
+	}
+	patch := makePatch(base.Bytes, target.Bytes)
+	for name, run := range map[string]func(){
+		"make":   func() { makePatch(base.Bytes, target.Bytes) },
+		"apply":  func() { applyPatch(base.Bytes, patch) },
+		"decode": func() { _, _ = DecodeConfig(target) },
+		"value":  func() { _, _ = EncodeValue(target) },
+	} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				run()
+			}
+			b.ReportMetric(float64(len(target.Bytes)), "document-bytes")
+			b.ReportMetric(float64(len(value)), "value-bytes")
+			b.ReportMetric(float64(len(patch)), "patch-bytes")
+		})
+	}
+}
--- a/internal/confsync/pull.go
+++ b/internal/confsync/pull.go
@@ -10,11 +10,11 @@
 	whole bool
 }
 
-func (n *Node) requestPull(now time.Duration, peer string, v Version, out *Output) {
-	if v.Revision <= n.pull.revision && now < n.pull.until {
+func (n *Node) requestPull(now time.Duration, peer string, revision uint64, out *Output) {
+	if revision <= n.pull.revision && now < n.pull.until {
 		return
 	}
-	n.pull.revision = v.Revision
+	n.pull.revision = revision
 	n.pull.until = now + PullTimeout
 	pull := Pull{Have: n.held.Version}
 	if n.pull.whole {
@@ -40,7 +40,7 @@
 		if !ok {
 			out.note(NoteBadPatch, m.Version, m.Base)
 			n.pull = pullState{whole: true}
-			n.requestPull(now, peer, m.Version, out)
+			n.requestPull(now, peer, m.Version.Revision, out)
 			return
 		}
 		n.history.keep(m)
--- a/internal/confsync/wire.go
+++ b/internal/confsync/wire.go
@@ -45,7 +45,7 @@
 	switch m := m.(type) {
 	case Exchange:
 		return &confsyncpb.Message{Kind: &confsyncpb.Message_Exchange{Exchange: &confsyncpb.Exchange{
-			State:  &confsyncpb.State{Version: versionToWire(m.State.Version), Disputed: m.State.Disputed},
+			State:  stateToWire(m.State),
 			Cell:   m.Cell,
 			Holder: m.Holder,
 			Reply:  m.Reply,
@@ -66,7 +66,8 @@
 func exchangeFromWire(m *confsyncpb.Exchange) Exchange {
 	return Exchange{
 		State: State{
-			Version:  versionFromWire(m.GetState().GetVersion()),
+			Revision: m.GetState().GetRevision(),
+			Tag:      m.GetState().GetTag(),
 			Disputed: m.GetState().GetDisputed(),
 		},
 		Cell:   m.GetCell(),
@@ -75,6 +76,15 @@
 	}
 }
 
+// WireSize returns the length of the wire form of a state, in bytes.
+func (s State) WireSize() int {
+	return proto.Size(stateToWire(s))
+}
+
+func stateToWire(s State) *confsyncpb.State {
+	return &confsyncpb.State{Revision: s.Revision, Tag: s.Tag, Disputed: s.Disputed}
+}
+
 func contentFromWire(m *confsyncpb.Content) Content {
 	return Content{
 		Version: versionFromWire(m.GetVersion()),
