--- /dev/null
+++ b/internal/timeline/mergecmd/run_test.go
@@ -0,0 +1,51 @@
+package mergecmd
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// Guards against events out of their causal order, filters that are not applied, output that a caller's text can
+// break, and wrong exit codes. testdata/run holds event files, command lines and outputs.
+func TestRun(t *testing.T) {
+	directory := t.TempDir()
+	datadriven.RunTest(t, "testdata/run", func(t *testing.T, d *datadriven.TestData) string {
+		switch d.Cmd {
+		case "file":
+			name := filepath.Join(directory, d.CmdArgs[0].Key)
+			if err := os.WriteFile(name, []byte(d.Input), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			return ""
+		case "run":
+			var out, errors bytes.Buffer
+			arguments := strings.Fields(strings.ReplaceAll(d.Input, "DIR", directory))
+			code := Run(arguments, Streams{In: strings.NewReader(""), Out: &out, Err: &errors})
+			return strings.ReplaceAll(stable(d.Input, out.String()), directory, "DIR") +
+				strings.ReplaceAll(errors.String(), directory, "DIR") + fmt.Sprintf("exit %d\n", code)
+		default:
+			t.Fatalf("unknown command %q", d.Cmd)
+			return ""
+		}
+	})
+}
+
+// stable removes what depends on the width of the terminal or on the build, and the style sheet.
+func stable(arguments, output string) string {
+	switch arguments {
+	case "--help":
+		return strings.Join(strings.Fields(output), " ") + "\n"
+	case "--version":
+		return strings.ReplaceAll(output, version(), "VERSION")
+	}
+	if _, body, ok := strings.Cut(output, "<body>"); ok {
+		return strings.ReplaceAll(body, "\n\n", "\n")
+	}
+	return output
+}
