--- /dev/null
+++ b/internal/hostlist/http.go
@@ -0,0 +1,62 @@
+package hostlist
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// pathHosts serves the list as a JSON array.
+const pathHosts = "/v1/hosts"
+
+// NewHandler serves list over HTTP.
+func NewHandler(list List) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pathHosts, func(w http.ResponseWriter, r *http.Request) {
+		hosts, err := list.Hosts(r.Context())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		// A failed write only means that the client has left.
+		_ = json.NewEncoder(w).Encode(hosts)
+	})
+	return mux
+}
+
+// Client is a List that is served by NewHandler in another process. Give each call a deadline.
+type Client struct {
+	url  string
+	http *http.Client
+}
+
+// NewClient returns a client of the list at base, for example "http://127.0.0.1:7400".
+func NewClient(base string, client *http.Client) *Client {
+	return &Client{url: strings.TrimSuffix(base, "/") + pathHosts, http: client}
+}
+
+// Hosts implements List.
+func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return nil, errors.Wrapf(err, "host list address %q is not a URL; correct the setting", c.url)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Wrapf(ErrUnavailable, "status %d", response.StatusCode)
+	}
+	var hosts []Host
+	if err := json.NewDecoder(response.Body).Decode(&hosts); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return hosts, nil
+}
