control: carry the short state of a configuration in heartbeats

Cause: confsync now tells revisions apart by a short tag. Change: the envelope carries revision, tag and dispute.

--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -89,21 +89,10 @@
 	return l.options.Seeds[host]
 }
 
-func toWireVersion(v confsync.Version) *wire.ConfigVersion {
-	if v == (confsync.Version{}) {
-		return nil
-	}
-	return &wire.ConfigVersion{Revision: v.Revision, Id: v.ID}
-}
-
-func fromWireVersion(v *wire.ConfigVersion) confsync.Version {
-	return confsync.Version{Revision: v.GetRevision(), ID: v.GetId()}
-}
-
 func toWireState(s confsync.State) *wire.ConfigState {
-	return &wire.ConfigState{Version: toWireVersion(s.Version), Disputed: s.Disputed}
+	return &wire.ConfigState{Revision: s.Revision, Tag: s.Tag, Disputed: s.Disputed}
 }
 
 func fromWireState(s *wire.ConfigState) confsync.State {
-	return confsync.State{Version: fromWireVersion(s.GetVersion()), Disputed: s.GetDisputed()}
+	return confsync.State{Revision: s.Revision, Tag: s.Tag, Disputed: s.Disputed}
 }
