--- a/internal/cell/membership.go
+++ b/internal/cell/membership.go
@@ -189,8 +189,7 @@
 			homes[e.home] = true
 			continue
 		}
-		n.event("cell/home-lapsed", name, "last lease of home "+e.home.Host+" is over")
-		n.freeServer(name)
+		n.lapseServer(name)
 	}
 	for member, record := range h.members {
 		if !homes[member] && now-record.heardAt > SuspectAfter && now > record.leaseEnd {
--- a/internal/cell/moves.go
+++ b/internal/cell/moves.go
@@ -108,7 +108,7 @@
 // takeServerRelease ends the part of a home for one server.
 func (n *Node) takeServerRelease(from Member, name string, token fence.Token) {
 	e, ok := n.holder.ledger.table.servers[name]
-	if ok && e.home == from && e.releasing && e.token == token {
+	if ok && e.home == from && e.token == token && n.ownership.can(stateOfServer(e), eventFree) {
 		n.freeServer(name)
 	}
 }
@@ -162,6 +162,26 @@
 	}
 }
 
+// stateOfServer returns the state of a server's home at the holder.
+func stateOfServer(e *serverEntry) ownership {
+	switch {
+	case e.home.IsZero():
+		return unassigned
+	case e.releasing:
+		return releasing
+	}
+	return granted
+}
+
+// lapseServer ends the part of a home whose last lease is over.
+func (n *Node) lapseServer(name string) {
+	e := n.holder.ledger.table.servers[name]
+	if n.ownership.can(stateOfServer(e), eventLapse) {
+		n.event("cell/home-lapsed", name, "last lease of home "+e.home.Host+" is over")
+		n.freeServer(name)
+	}
+}
+
 // freeServer records that a server has no home and that nothing of its former home is in force.
 func (n *Node) freeServer(name string) {
 	h := n.holder
@@ -185,6 +205,9 @@
 func (n *Node) grantServer(now time.Duration, name string, home Member) {
 	h := n.holder
 	e := *h.ledger.table.servers[name]
+	if !n.ownership.can(stateOfServer(&e), eventGrant) {
+		return
+	}
 	e.home, e.token, e.releasing = home, n.nextToken(), false
 	if record := h.members[home]; record != nil {
 		record.leaseEnd = max(record.leaseEnd, now+withDrift(HomeLease))
@@ -203,7 +226,7 @@
 // releaseServer asks the home to stop using the server and to report it.
 func (n *Node) releaseServer(name string) {
 	e := *n.holder.ledger.table.servers[name]
-	if e.releasing || e.home.IsZero() {
+	if !n.ownership.can(stateOfServer(&e), eventRelease) {
 		return
 	}
 	e.releasing = true
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -80,6 +80,9 @@
 // Role returns the part of this gateway in the cell.
 func (n *Node) Role() Role { return Role(n.role.Current()) }
 
+// Cell returns the name of this gateway's cell, or "" before the first configuration.
+func (n *Node) Cell() string { return n.cell }
+
 // Pair returns the newest pair that this gateway knows.
 func (n *Node) Pair() Pair { return n.pair }
 
