cell: move the partitions of a server that says that it drains

Cause: only announced stops moved partitions; a server that drains by itself kept its keys, while its home stops dispatching after 2.5 s. Change: homes report draining; the holder treats it as an announced stop; a new holder keeps the state until the home has told otherwise.

--- a/internal/cell/holder.go
+++ b/internal/cell/holder.go
@@ -45,13 +45,15 @@
 	load         map[string][]float64
 	keyLoad      map[unit]keyLoadRow
 	serverLoad   map[string]float64
-	rights       map[string]*rightsState
-	planDue      bool
-	plannedAt    time.Duration
-	syncedAt     time.Duration
-	replanAt     time.Duration
-	placedAt     *config.Config
-	placed       map[string]*config.Placement
+	// draining holds whether the home of a server said that it drains.
+	draining  map[string]bool
+	rights    map[string]*rightsState
+	planDue   bool
+	plannedAt time.Duration
+	syncedAt  time.Duration
+	replanAt  time.Duration
+	placedAt  *config.Config
+	placed    map[string]*config.Placement
 
 	record     recordStore
 	tableStore tableStore
@@ -72,6 +74,7 @@
 		load:         make(map[string][]float64),
 		keyLoad:      make(map[unit]keyLoadRow),
 		serverLoad:   make(map[string]float64),
+		draining:     make(map[string]bool),
 		rights:       make(map[string]*rightsState),
 		planDue:      true,
 		ackedAt:      now,
--- a/internal/cell/localhome.go
+++ b/internal/cell/localhome.go
@@ -12,6 +12,7 @@
 // serverHealth is the last report on a backend server.
 type serverHealth struct {
 	up       bool
+	draining bool
 	grantEnd time.Duration
 	// latch is the greatest token of the server's partitions while it was down. The home does not use them again;
 	// the holder lapses and grants them anew.
@@ -70,6 +71,7 @@
 		}
 		changed = changed || h.up != s.Up
 		h.up = s.Up
+		h.draining = s.Draining
 		if !s.Up {
 			h.grantEnd = max(h.grantEnd, s.GrantEnd)
 		}
@@ -130,10 +132,10 @@
 	for _, name := range slices.Sorted(maps.Keys(l.health)) {
 		h := l.health[name]
 		e, ok := t.servers[name]
-		if !ok || h.up && h.latch.IsZero() && e.state != ServerDown {
+		if !ok || h.up && h.latch.IsZero() && e.state != ServerDown && h.draining == (e.state == ServerDraining) {
 			continue
 		}
-		status := &wire.ServerStatus{Server: name, Down: !h.up}
+		status := &wire.ServerStatus{Server: name, Down: !h.up, Draining: h.draining}
 		if !h.latch.IsZero() {
 			status.Token = tokenToWire(h.latch)
 			status.RemainingNanos = uint64(max(0, h.grantEnd-now))
--- a/internal/cell/moves.go
+++ b/internal/cell/moves.go
@@ -120,12 +120,10 @@
 	if !ok || e.home != from {
 		return
 	}
-	if s.Down != (e.state == ServerDown) {
+	h.draining[s.Server] = s.Draining
+	if state := n.reportedState(now, s); state != e.state {
 		changed := *e
-		changed.state = ServerUp
-		if s.Down {
-			changed.state = ServerDown
-		}
+		changed.state = state
 		h.ledger.putServer(changed)
 		h.planDue = true
 		n.event("cell/server-state", s.Server, "server is "+string(changed.state))
@@ -146,6 +144,18 @@
 	})
 }
 
+// reportedState returns the state of a server by the report of its home and the announced stops.
+func (n *Node) reportedState(now time.Duration, s *wire.ServerStatus) ServerState {
+	switch {
+	case s.Down:
+		return ServerDown
+	case s.Draining || n.stopping(s.Server, now):
+		return ServerDraining
+	default:
+		return ServerUp
+	}
+}
+
 // expireLapses frees the units whose last grant is over.
 func (n *Node) expireLapses(now time.Duration) {
 	h := n.holder
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -110,9 +110,13 @@
 			e = &serverEntry{name: server.Name, service: s.Name, state: ServerUp}
 		}
 		state := e.state
-		if stopping := n.stopping(server.Name, now); stopping && state == ServerUp {
+		reported, known := h.draining[server.Name]
+		stopping := n.stopping(server.Name, now)
+		switch {
+		case state == ServerUp && (stopping || reported):
 			state = ServerDraining
-		} else if !stopping && state == ServerDraining {
+		case state == ServerDraining && !stopping && known && !reported:
+			// A new holder keeps the state until the home has told whether the server still drains.
 			state = ServerUp
 		}
 		if !ok || state != e.state {
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -21,6 +21,8 @@
 type ServerReport struct {
 	Server string
 	Up     bool
+	// Draining is true if the server says that it drains. Its partitions then move as for an announced stop.
+	Draining bool
 	// GrantEnd is the monotonic time at which the last grant, or the last deadline of a dispatched request, on the
 	// server expires. From a down report on, the home must not set grants or dispatch to the server under a token
 	// that it had seen before; it may under greater ones.
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -267,6 +267,28 @@
 // Guards against a revision that does not reach a gateway, that is lost with the store, or that goes back.
 func TestAcceptedRevisionReachesEveryGateway(t *testing.T) { inBubble(t, testRevision) }
 
+// Guards against a draining backend server that still gets work after 3 s, and against keys that stay with it.
+func TestDrainingServerGetsNoNewWork(t *testing.T) { inBubble(t, testDrain) }
+
+func testDrain(t *testing.T) {
+	c := startCluster(t)
+	defer c.close()
+	server := c.servers["k1"]
+	server.Set(func(s *standin.Switches) { s.Draining = true })
+	time.Sleep(3 * time.Second)
+	before := server.Counters().Executions
+	if !c.servesAll(c.anyNode()) {
+		t.Error("not every key is served 3 s after a server began to drain")
+	}
+	if after := server.Counters().Executions; after != before {
+		t.Errorf("the draining server started %d requests after 3 s", after-before)
+	}
+	server.Set(func(s *standin.Switches) { s.Draining = false })
+	c.until("the server that came back has work", func() bool {
+		return c.servesAll(c.anyNode()) && server.Counters().Executions > before
+	})
+}
+
 type loss struct {
 	name string
 	lose func(c *cluster)
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -18,6 +18,7 @@
 		Servers: []cell.ServerReport{{
 			Server:   r.Server,
 			Up:       r.Health != home.HealthDown,
+			Draining: r.Health == home.HealthDraining,
 			GrantEnd: c.homes.monotonic(r.WorkEnd),
 		}},
 	}
