--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -27,6 +27,13 @@
 	maxHeld = 4096
 	// noOwnerRetryAfter is the advice to callers whose key has no owner at the moment.
 	noOwnerRetryAfter = 2 * time.Second
+	// maxActive bounds the requests of callers in progress. A request takes about 100 KB at most beside its body, so
+	// that all of them stay below 1 GB.
+	maxActive = 8192
+	// overloadRetryAfter is the advice to callers that a gateway refuses because of maxActive.
+	overloadRetryAfter = time.Second
+	// answerWriteTimeout bounds the sending of an answer to a caller that reads slowly.
+	answerWriteTimeout = 30 * time.Second
 	// maxPathBytes bounds the path and query.
 	maxPathBytes = 8 << 10
 	// maxKeyBytes bounds keys, subscribers and request identities.
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -11,9 +11,12 @@
 
 // ServeHTTP answers one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.active.Add(1)
-	defer g.active.Add(-1)
 	start := time.Now()
+	defer g.active.Add(-1)
+	if g.active.Add(1) > maxActive {
+		g.refuse(w, "", start, overloaded())
+		return
+	}
 	v := g.view.Load()
 	if v == nil {
 		g.refuse(w, "", start, outcome.New(outcome.KindNoConfig, http.StatusServiceUnavailable, outcome.NotRun,
@@ -29,6 +32,13 @@
 	g.serve(w, r, c, start)
 }
 
+func overloaded() *outcome.Problem {
+	p := outcome.New(outcome.KindQueueFull, http.StatusServiceUnavailable, outcome.NotRun,
+		"the gateway has too many requests in progress; try again later")
+	p.RetryAfter = overloadRetryAfter
+	return p
+}
+
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, c *call, start time.Time) {
 	ctx, cancel := context.WithDeadline(r.Context(), c.request.Deadline)
 	defer cancel()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
-	"github.com/hashicorp/yamux"
-
 	"github.com/sapphireplank/sapphireplank/internal/backend"
 	"github.com/sapphireplank/sapphireplank/internal/outcome"
 	"github.com/sapphireplank/sapphireplank/internal/peer"
@@ -66,7 +65,7 @@
 }
 
 // writeRequest sends head, body and end with as few writes as possible.
-func writeRequest(stream *yamux.Stream, c *call, t target) error {
+func writeRequest(stream io.Writer, c *call, t target) error {
 	scratch := buffers.Get().(*[]byte)
 	defer buffers.Put(scratch)
 	buffer, err := wire.AppendMessage((*scratch)[:0], wire.FrameRequestHead, toWireHead(c, t))
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -20,6 +20,8 @@
 	if answer.ContentLength >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
 	}
+	// A failure means that the connection has no deadlines; the answer is then sent without a bound.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerWriteTimeout))
 	w.WriteHeader(answer.Status)
 	written, err := io.Copy(w, answer.Body)
 	complete := err == nil && (answer.ContentLength < 0 || written == answer.ContentLength)
