--- /dev/null
+++ b/internal/home/ownership_test.go
@@ -0,0 +1,88 @@
+package home
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/backend"
+	"github.com/sapphireplank/sapphireplank/internal/fence"
+	"github.com/sapphireplank/sapphireplank/internal/standin"
+)
+
+// moveKeys moves a partition between two servers while requests run, servers freeze and callers give up. It
+// returns what the ledger found. early gives the partition away before its release is reported.
+func moveKeys(t *testing.T, seed uint64, fenced, early bool) (overlaps []string) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		ledger := standin.NewLedger()
+		servers := make([]*standin.Server, 2)
+		homes := make([]*Dispatcher, 2)
+		for i := range servers {
+			options := standin.Moravia(fmt.Sprint("s", i), fenced, seed)
+			options.Observer, options.ServiceTime = ledger, 50*time.Millisecond
+			servers[i] = standin.New(options)
+			homes[i] = Open(Config{
+				Keyed: true, Fenced: fenced, Slots: 3, Partitions: 1,
+				Lease: func() time.Time { return time.Now().Add(HomeLease) },
+			}, servers[i].Client())
+		}
+		owner, seq, end := 0, uint64(1), time.Now().Add(15*time.Second)
+		own := func(releasing bool) {
+			homes[owner].Apply(Assignment{Owned: []Owned{{Token: fence.Token{Seq: seq}, Releasing: releasing}}})
+		}
+		own(false)
+		for i := range 2 {
+			go func() { // callers, who do not know about moves
+				b := &bench{T: t, dispatcher: homes[i], lastID: uint16(i) << 15}
+				for time.Now().Before(end) {
+					time.Sleep(5 * time.Millisecond)
+					go b.do(t.Context(), b.request(func(r *backend.Request) { r.Deadline = time.Now().Add(time.Second) }))
+				}
+			}()
+		}
+		for time.Now().Before(end) {
+			time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
+			if random.IntN(2) == 0 {
+				frozen := servers[owner]
+				frozen.Freeze()
+				time.AfterFunc(time.Duration(random.IntN(2000))*time.Millisecond, frozen.Thaw)
+			}
+			own(true)
+			for !early && len(homes[owner].Report().Released) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			homes[owner].Apply(Assignment{})
+			owner, seq = 1-owner, seq+1
+			own(false)
+		}
+		time.Sleep(10 * time.Second)
+		for i := range servers {
+			homes[i].Close()
+			servers[i].Close()
+		}
+		time.Sleep(2 * time.Minute) // lets net/http notice the closed connections before the bubble ends
+		if n := ledger.Executions("s"); n < 250 || len(ledger.Repeated()) > 0 {
+			t.Errorf("%d executions, repeated %v", n, ledger.Repeated())
+		}
+		overlaps = ledger.Overlaps()
+	})
+	return overlaps
+}
+
+// TestOneOwner guards against a key that two servers execute at the same time, and against a check that does
+// not notice it.
+func TestOneOwner(t *testing.T) {
+	for _, fenced := range []bool{true, false} {
+		for seed := range uint64(2) {
+			if got := moveKeys(t, seed, fenced, false); len(got) > 0 {
+				t.Errorf("fenced=%v, seed %d: %d overlaps, first %s", fenced, seed, len(got), got[0])
+			}
+		}
+		if got := moveKeys(t, 1, fenced, true); len(got) == 0 {
+			t.Errorf("fenced=%v: a move before the release was not noticed", fenced)
+		}
+	}
+}
--- a/internal/standin/options.go
+++ b/internal/standin/options.go
@@ -56,6 +56,8 @@
 	Key        string
 	Scope      string
 	Token      string
+	// Deadline is the time after which the execution has no effect, also on a server that was frozen.
+	Deadline time.Time
 }
 
 func (o Options) withDefaults() Options {
--- a/internal/standin/request.go
+++ b/internal/standin/request.go
@@ -29,12 +29,12 @@
 	}
 	s.waitThawed()
 	execution := s.executionOf(r)
-	deadline, reason := s.start(r, execution, fault)
+	reason := s.start(execution, fault)
 	if reason != "" {
 		refuse(w, reason)
 		return
 	}
-	finished := s.work(r, deadline)
+	finished := s.work(r, execution.Deadline)
 	s.end(execution)
 	if finished {
 		s.answer(w, fault)
@@ -66,32 +66,40 @@
 		Key:        r.Header.Get(backend.HeaderKey),
 		Scope:      r.Header.Get(backend.HeaderScope),
 		Token:      r.Header.Get(backend.HeaderToken),
+		Deadline:   deadlineOf(r),
 	}
 }
 
-// start counts an execution, or returns the reason for which the request is not executed.
-func (s *Server) start(r *http.Request, e Execution, fault Fault) (time.Time, backend.Refusal) {
+// deadlineOf returns the deadline of a request. Without a valid one it has passed.
+func deadlineOf(r *http.Request) time.Time {
 	nanos, err := strconv.ParseInt(r.Header.Get(backend.HeaderDeadline), 10, 64)
-	deadline := time.Unix(0, nanos)
+	if err != nil {
+		return time.Time{}
+	}
+	return time.Unix(0, nanos)
+}
+
+// start counts an execution, or returns the reason for which the request is not executed.
+func (s *Server) start(e Execution, fault Fault) backend.Refusal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	reason := s.refusal(e, fault, err == nil && time.Now().Before(deadline))
+	reason := s.refusal(e, fault)
 	if reason != "" {
 		s.counters.Refused[string(reason)]++
-		return deadline, reason
+		return reason
 	}
 	s.count(e)
 	if s.options.Observer != nil {
 		s.options.Observer.Started(e)
 	}
-	return deadline, ""
+	return ""
 }
 
-func (s *Server) refusal(e Execution, fault Fault, inTime bool) backend.Refusal {
+func (s *Server) refusal(e Execution, fault Fault) backend.Refusal {
 	switch {
 	case s.switches.Draining:
 		return backend.RefusedDraining
-	case !inTime:
+	case !time.Now().Before(e.Deadline):
 		return backend.RefusedDeadline
 	case s.switches.Shed || fault == FaultShed:
 		return backend.RefusedShed
