--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -18,6 +18,7 @@
 	FrameBody         FrameType = 3
 	FrameEnd          FrameType = 4
 	FrameControl      FrameType = 5
+	FrameQuery        FrameType = 6
 )
 
 const (
@@ -109,3 +110,11 @@
 	}
 	return errors.Wrap(proto.Unmarshal(payload, m), "unmarshal message")
 }
+
+// AppendFrame appends payload as one frame to buffer.
+func AppendFrame(buffer []byte, t FrameType, payload []byte) []byte {
+	start := len(buffer)
+	buffer = append(buffer, make([]byte, frameHeaderBytes)...)
+	putHeader(buffer[start:], t, len(payload))
+	return append(buffer, payload...)
+}
