--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -188,3 +188,12 @@
 		}
 	}
 }
+
+func BenchmarkRecord(b *testing.B) {
+	log := NewLog(LogOptions{Host: "h1"})
+	event := Event{Kind: "home/dispatched", Service: "dispatch", Server: "d-1", Request: "r1"}
+	b.ReportAllocs()
+	for b.Loop() {
+		log.Record(event)
+	}
+}
