assign: move only for servers that deviate and discount noise

A round that one server started evened out all servers down to the noise of their loads, and a join took the partitions that looked heaviest by chance. Now only servers that deviate by more than StartAt give or take, the tracker leaves out differences between partitions that are probably noise (James-Stein), and a cold server gets partitions of mean load.

All bounds are unchanged.

--- a/internal/assign/ewma.go
+++ b/internal/assign/ewma.go
@@ -18,11 +18,16 @@
 	if interval <= 0 {
 		return
 	}
-	keep := math.Exp2(-interval.Seconds() / halfLife.Seconds())
+	keep := keepOf(interval, halfLife)
 	e.rate = keep*e.rate + (1-keep)*work/interval.Seconds()
 	e.weight = keep*e.weight + 1 - keep
 }
 
+// keepOf returns the share of an average that is left after interval.
+func keepOf(interval, halfLife time.Duration) float64 {
+	return math.Exp2(-interval.Seconds() / halfLife.Seconds())
+}
+
 // Rate returns the average in work per second.
 func (e *EWMA) Rate() float64 {
 	if e.weight == 0 {
--- a/internal/assign/moves.go
+++ b/internal/assign/moves.go
@@ -1,9 +1,6 @@
 package assign
 
-import (
-	"math"
-	"sort"
-)
+import "sort"
 
 // minGain is the least difference of load, relative to the share, that a move must remove.
 const minGain = 0.002
@@ -12,10 +9,11 @@
 // few passes are needed.
 const maxPasses = 8
 
-// balance moves units from overloaded to underloaded servers until every server is near its share, no move helps or
-// the limit of the round is reached.
+// balance moves units away from servers whose load is above their share by more than StartAt, and to servers whose
+// load is below it by more than StartAt, until they are near their share, no move helps or the limit is reached.
 func (r *round) balance() {
-	if !r.needsBalance() {
+	r.findDeviations()
+	if !r.deviates() {
 		return
 	}
 	first := 0
@@ -39,29 +37,6 @@
 	r.deferred = true
 }
 
-// needsBalance reports whether a server deviates from its share by more than StartAt. The share of a server with a
-// key that is too hot is that key alone.
-func (r *round) needsBalance() bool {
-	full := make([]float64, len(r.capacity))
-	for i := range r.tooHot {
-		key := &r.units[len(r.in.Partitions)+i]
-		full[key.owner] += key.load
-	}
-	for server, capacity := range r.capacity {
-		if capacity == 0 {
-			continue
-		}
-		want := capacity * r.share
-		if full[server] > want {
-			want = full[server]
-		}
-		if math.Abs(r.load[server]-want) > r.tuning.StartAt*capacity*r.share {
-			return true
-		}
-	}
-	return false
-}
-
 // waitsForKeys records since when the servers deviate and reports whether only hot keys may move.
 func (r *round) waitsForKeys() bool {
 	now := max(r.in.Now, 1)
@@ -119,9 +94,12 @@
 	return moved
 }
 
+// isBalanced reports whether neither the most nor the least loaded server needs a move.
 func (p *balancePass) isBalanced(from, to int32) bool {
-	stop := p.round.tuning.StopAt
-	return p.round.ratio(from) <= 1+stop && p.round.ratio(to) >= 1-stop
+	r := p.round
+	gives := r.over[from] && r.ratio(from) > 1+r.tuning.StopAt
+	takes := r.under[to] && r.ratio(to) < 1-r.tuning.StopAt
+	return !gives && !takes
 }
 
 // pick returns the position of the unit of from whose move to to helps most: the heaviest that leaves from with its
@@ -130,6 +108,10 @@
 	r := p.round
 	share := r.share * r.capacity[from]
 	excess := r.load[from] - share*(1-r.tuning.StopAt)
+	if r.isRamping(to) {
+		// The heaviest units look heavy partly by chance. A server that got only such units would soon have too little.
+		excess = min(excess, r.meanPartition)
+	}
 	units := p.owned.of(r, from)
 	first := sort.Search(len(units), func(i int) bool { return r.units[units[i]].load <= excess })
 	for i := first; i < len(units); i++ {
--- a/internal/assign/share.go
+++ b/internal/assign/share.go
@@ -33,6 +33,7 @@
 	floor := partitionFloor(r.in, total, weight)
 	for i := range r.in.Partitions {
 		r.units[i].load += floor
+		r.meanPartition += r.units[i].load / float64(len(r.in.Partitions))
 	}
 }
 
--- /dev/null
+++ b/internal/assign/shrink.go
@@ -0,0 +1,84 @@
+package assign
+
+import "time"
+
+// noiseCut bounds how much one reading counts as noise, in standard deviations, so that a change of the hot keys
+// does not pass for noise.
+const noiseCut = 3
+
+// shrinkage estimates how much of the difference between partitions is noise (James-Stein). A partition that looks
+// heavy by chance would otherwise be the first to move, and its new owner would soon have too little.
+type shrinkage struct {
+	// variance is the variance of one reading of a typical partition.
+	variance float64
+	// squares is the sum of the squared weights of the readings in an average.
+	squares float64
+	// signal is the share of the differences between partitions that is not noise.
+	signal float64
+}
+
+// add takes the mean of the squared deviations of one reading into the variance. The first reading has none.
+func (s *shrinkage) add(mean, keep float64, first bool) {
+	s.squares = keep*keep*s.squares + (1-keep)*(1-keep)
+	if first {
+		return
+	}
+	if s.variance == 0 {
+		s.variance = mean
+		return
+	}
+	s.variance = keep*s.variance + (1-keep)*mean
+}
+
+// limit returns the greatest squared deviation that counts as noise.
+func (s *shrinkage) limit() (float64, bool) {
+	return noiseCut * noiseCut * s.variance, s.variance > 0
+}
+
+// update recomputes the signal from the averages. Their weight cancels out.
+func (s *shrinkage) update(rates []float64) {
+	mean := meanOf(rates)
+	observed := 0.0
+	for _, rate := range rates {
+		observed += (rate - mean) * (rate - mean)
+	}
+	observed /= float64(len(rates))
+	if observed == 0 {
+		s.signal = 0
+		return
+	}
+	s.signal = min(1, max(0, 1-s.variance*s.squares/observed))
+}
+
+func meanOf(values []float64) float64 {
+	sum := 0.0
+	for _, value := range values {
+		sum += value
+	}
+	return sum / float64(len(values))
+}
+
+// advancePartitions takes the pending work of all partitions into their averages.
+func (t *Tracker) advancePartitions(interval time.Duration) {
+	keep := keepOf(interval, t.smoothing.Partitions)
+	first := t.weight.weight == 0
+	limit, limited := t.shrink.limit()
+	deviations := 0.0
+	for id, work := range t.pending {
+		reading := work / interval.Seconds()
+		if !first {
+			deviation := reading - t.rates[id]/t.weight.weight
+			squared := deviation * deviation
+			if limited {
+				squared = min(squared, limit)
+			}
+			deviations += squared
+		}
+		t.rates[id] = keep*t.rates[id] + (1-keep)*reading
+	}
+	clear(t.pending)
+	t.weight.Add(interval.Seconds(), interval, t.smoothing.Partitions)
+	t.shrink.add(deviations/float64(len(t.rates)), keep, first)
+	t.shrink.update(t.rates)
+	t.mean = meanOf(t.rates)
+}
--- a/internal/assign/tracker.go
+++ b/internal/assign/tracker.go
@@ -31,6 +31,9 @@
 	// rates are the averages of the partitions, all of them with the same weight.
 	rates  []float64
 	weight EWMA
+	// mean is the mean of rates at the last Advance.
+	mean   float64
+	shrink shrinkage
 	keys   map[string]*trackedKey
 	heavy  []KeyLoad
 }
@@ -73,25 +76,19 @@
 	if interval <= 0 {
 		return
 	}
-	t.weight.Add(interval.Seconds(), interval, t.smoothing.Partitions)
-	for id, work := range t.pending {
-		average := EWMA{rate: t.rates[id]}
-		average.Add(work, interval, t.smoothing.Partitions)
-		t.rates[id] = average.rate
-	}
-	clear(t.pending)
+	t.advancePartitions(interval)
 	for _, tracked := range t.keys {
 		tracked.average.Add(tracked.pending, interval, t.smoothing.Keys)
 		tracked.pending = 0
 	}
 }
 
-// Load returns the load of a partition in work per second.
+// Load returns the load of a partition in work per second. Differences that are probably noise are left out.
 func (t *Tracker) Load(id keyspace.Partition) float64 {
 	if t.weight.weight == 0 {
 		return 0
 	}
-	return t.rates[id] / t.weight.weight
+	return (t.mean + t.shrink.signal*(t.rates[id]-t.mean)) / t.weight.weight
 }
 
 // HotKeys returns the loads of the keys with an override and of the heavy keys, in the order of their names.
--- a/internal/assign/units.go
+++ b/internal/assign/units.go
@@ -30,8 +30,12 @@
 	share float64
 	// tooHot are the keys that exceed the share of a whole server: the first overrides.
 	tooHot []KeyLoad
+	// meanPartition is the mean load of a partition.
+	meanPartition float64
 	// load is the load of each server.
 	load []float64
+	// over and under mark the servers with a load above and below their share.
+	over, under []bool
 	// forced counts the moves that a leave or a missing owner caused.
 	forced   int
 	deferred bool
