live: add experiments on real gateways

Twelve gateways, stand-in servers and a store run in one process; each experiment puts a scenario beside its baseline.

--- a/cmd/plank-bench/main.go
+++ b/cmd/plank-bench/main.go
@@ -5,8 +5,10 @@
 	"os"
 
 	"github.com/sapphireplank/sapphireplank/internal/bench"
+	"github.com/sapphireplank/sapphireplank/internal/live"
 )
 
 func main() {
+	live.Register()
 	os.Exit(bench.Main(os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/internal/bench/main.go
+++ b/internal/bench/main.go
@@ -31,7 +31,7 @@
 	var opts options
 	parser := flags.NewNamedParser("plank-bench", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = longDescription
-	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
+	if err := addOptions(parser, &opts); err != nil {
 		fmt.Fprintf(stderr, "plank-bench: %v\n", err)
 		return exitFailed
 	}
--- a/internal/dev/caller.go
+++ b/internal/dev/caller.go
@@ -20,6 +20,8 @@
 	client   *http.Client
 	balancer *Balancer
 	ledger   *Ledger
+	// route chooses the gateway of a request; the balancer does if it is nil.
+	route Route
 }
 
 const (
@@ -52,7 +54,7 @@
 // Send sends one request and records the result.
 func (c *Caller) Send(ctx context.Context, q call) {
 	record := Record{Service: q.service, Key: q.key, Subscriber: q.subscriber, Identity: q.identity,
-		Idempotent: q.idempotent, Gateway: c.balancer.Pick(), Start: time.Now()}
+		Idempotent: q.idempotent, Gateway: c.gatewayOf(q), Start: time.Now()}
 	ctx, cancel := context.WithTimeout(ctx, q.timeout+callerPatience)
 	defer cancel()
 	var written atomic.Bool
@@ -67,6 +69,16 @@
 	c.ledger.Add(record)
 }
 
+// gatewayOf returns the address of the gateway that takes the request.
+func (c *Caller) gatewayOf(q call) string {
+	if c.route != nil {
+		if address, ok := c.route(q.service, q.key); ok {
+			return address
+		}
+	}
+	return c.balancer.Pick()
+}
+
 // plainReader hides the type of a body from net/http, so that the caller's own transport never repeats a request.
 type plainReader struct{ io.Reader }
 
--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -38,10 +38,10 @@
 	Balancer   *Balancer
 	servers    *servers
 	closed     chan struct{}
-	logs       *logging.Logs
-	// eventDir is the directory for event logs, or "".
-	eventDir string
-	files    []io.Closer
+	options    Options
+	files      []io.Closer
+	// links are the paths of the gateways to the store, by host.
+	links map[string]*store.Link
 
 	// mu protects the fields below.
 	mu    sync.Mutex
@@ -50,26 +50,33 @@
 
 // StartDeployment starts the store, all backend servers and all gateways of a configuration.
 func StartDeployment(name string, c *config.Config, logs *logging.Logs, eventDir string, seed uint64) (*Deployment, error) {
+	return Start(Options{Name: name, Config: c, Logs: logs, EventDir: eventDir, Seed: seed})
+}
+
+// Start starts the store, all backend servers and all gateways of a deployment.
+func Start(o Options) (*Deployment, error) {
+	o = o.withDefaults()
 	d := &Deployment{
-		Name:       name,
-		Config:     c,
+		Name:       o.Name,
+		Config:     o.Config,
 		Store:      store.NewMemory(store.SystemClock{}),
 		Executions: new(ExecutionLog),
 		Ledger:     new(Ledger),
 		Balancer:   new(Balancer),
 		nodes:      make(map[string]*node.Node),
 		closed:     make(chan struct{}),
-		logs:       logs,
-		eventDir:   eventDir,
+		options:    o,
+		links:      make(map[string]*store.Link),
 	}
 	if err := d.accept(); err != nil {
 		return nil, err
 	}
 	var err error
-	if d.servers, err = startServers(c, d.Executions, seed); err != nil {
+	if d.servers, err = startServers(o.Config, d.Executions, o.ServiceTime, o.Seed); err != nil {
 		return nil, err
 	}
-	for _, host := range c.Hosts {
+	for _, host := range o.Config.Hosts {
+		d.links[host.Name] = store.NewLink(d.Store)
 		if err := d.StartGateway(host.Name); err != nil {
 			d.Close()
 			return nil, err
@@ -109,9 +116,10 @@
 		CallerAddress: host.CallerAddress,
 		AdminAddress:  host.AdminAddress,
 		Seeds:         d.seeds(name),
-		Store:         d.Store,
+		Store:         d.links[name],
+		Dial:          d.options.Network.dialer(name),
 		Events:        timeline.NewLog(timeline.LogOptions{Host: name, Output: events}),
-		Logs:          d.logs,
+		Logs:          d.options.Logs,
 		Observer:      gateway.NoObserver{},
 		Tokens:        tokens,
 	})
@@ -126,11 +134,11 @@
 
 // openEvents returns the file for the events of a host, or nil.
 func (d *Deployment) openEvents(host string) (io.Writer, error) {
-	if d.eventDir == "" {
+	if d.options.EventDir == "" {
 		return nil, nil
 	}
 	flags := os.O_CREATE | os.O_APPEND | os.O_WRONLY
-	file, err := os.OpenFile(filepath.Join(d.eventDir, host+".jsonl"), flags, eventFileMode)
+	file, err := os.OpenFile(filepath.Join(d.options.EventDir, host+".jsonl"), flags, eventFileMode)
 	if err != nil {
 		return nil, errors.Wrap(err, "open the event log; choose another --events")
 	}
--- /dev/null
+++ b/internal/dev/options.go
@@ -0,0 +1,30 @@
+package dev
+
+import (
+	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/config"
+	"github.com/sapphireplank/sapphireplank/internal/logging"
+)
+
+// Options describe a deployment.
+type Options struct {
+	Name   string
+	Config *config.Config
+	Logs   *logging.Logs
+	// EventDir is the directory for event logs. Default: none are written.
+	EventDir string
+	// Seed seeds the execution times of the backend servers.
+	Seed uint64
+	// ServiceTime is the mean execution time of the backend servers. Default: 10 ms.
+	ServiceTime time.Duration
+	// Network carries the connections of the gateways. Default: TCP without faults.
+	Network *Network
+}
+
+func (o Options) withDefaults() Options {
+	if o.ServiceTime == 0 {
+		o.ServiceTime = meanServiceTime
+	}
+	return o
+}
--- a/internal/dev/probe.go
+++ b/internal/dev/probe.go
@@ -11,7 +11,7 @@
 const probeSubscriber = "prober"
 
 const (
-	// probedKeys is the number of keys per service whose unavailable time is measured.
+	// probedKeys is the default number of keys per service whose unavailable time is measured.
 	probedKeys = 24
 	// probeInterval is the interval between two requests for one key, and so the resolution of unavailable time.
 	probeInterval = 100 * time.Millisecond
@@ -20,7 +20,7 @@
 // probe sends one idempotent request per interval for each of a set of keys.
 func (t *Traffic) probe(ctx context.Context, p profile) {
 	random := rand.New(rand.NewPCG(1, 2))
-	for i := range probedKeys {
+	for i := range t.probedKeys {
 		q := call{
 			service:    p.service.Name,
 			key:        "probe-" + strconv.Itoa(i),
--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -47,8 +47,5 @@
 
 // load sends the load of all callers until ctx ends.
 func (d *Deployment) load(ctx context.Context, f flagSet) {
-	caller := NewCaller(d.Balancer, d.Ledger)
-	defer caller.Close()
-	traffic := NewTraffic(caller, f.Seed)
-	traffic.Run(ctx, profiles(d.Config, float64(meanServiceTime.Milliseconds()), f.Heavy, f.Scale))
+	d.Send(ctx, Load{Seed: f.Seed, Heavy: f.Heavy, Scale: f.Scale})
 }
--- a/internal/dev/servers.go
+++ b/internal/dev/servers.go
@@ -18,7 +18,7 @@
 }
 
 // startServers listens on the address of each configured backend server.
-func startServers(c *config.Config, log *ExecutionLog, seed uint64) (*servers, error) {
+func startServers(c *config.Config, log *ExecutionLog, serviceTime time.Duration, seed uint64) (*servers, error) {
 	s := &servers{byName: make(map[string]*standin.Server)}
 	for _, service := range c.Services {
 		for i, server := range service.Servers {
@@ -28,7 +28,7 @@
 				Fenced:         service.Fenced,
 				ConnectionCost: standin.DefaultConnectionCost,
 				ProbeCost:      standin.DefaultProbeCost,
-				ServiceTime:    meanServiceTime,
+				ServiceTime:    serviceTime,
 				Exponential:    true,
 				Seed:           seed + uint64(i),
 				Observer:       newExecutionObserver(service.Name, log),
--- a/internal/dev/traffic.go
+++ b/internal/dev/traffic.go
@@ -23,12 +23,14 @@
 type Traffic struct {
 	caller *Caller
 	random *rand.Rand
-	wg     sync.WaitGroup
+	// probedKeys is the number of keys per service whose unavailable time is measured.
+	probedKeys int
+	wg         sync.WaitGroup
 }
 
 // NewTraffic returns traffic whose choices follow seed.
 func NewTraffic(caller *Caller, seed uint64) *Traffic {
-	return &Traffic{caller: caller, random: rand.New(rand.NewPCG(seed, 1))}
+	return &Traffic{caller: caller, random: rand.New(rand.NewPCG(seed, 1)), probedKeys: probedKeys}
 }
 
 // Run sends the load until ctx ends, and waits for the last answers.
