--- a/internal/live/measurement.go
+++ b/internal/live/measurement.go
@@ -19,10 +19,19 @@
 	latency := r.latency()
 	r.control()
 	m := &bench.Measurement{System: r.scenario.name, Latency: latency, Figures: r.figures}
-	m.Churn = &bench.Churn{Moves: r.moved}
+	m.Churn = r.churnOf()
 	return m
 }
 
+// churnOf returns the moved partitions as a share of all partitions of services that are divided by key.
+func (r *run) churnOf() *bench.Churn {
+	all := 0
+	for _, owners := range r.owners {
+		all += len(owners)
+	}
+	return &bench.Churn{Moved: float64(r.moved) / float64(all), Least: float64(r.least) / float64(all), Moves: r.moved}
+}
+
 func (r *run) outcomes() {
 	r.figure("length of the run", "s", r.duration.Seconds())
 	r.figure("requests", "1", float64(r.report.Requests))
@@ -59,7 +68,6 @@
 			r.figure("imbalance of "+i.Service+", worst second", "max/mean", i.Worst)
 		}
 	}
-	r.figure("partitions moved", "1", float64(r.moved))
 	r.figure("partitions moved at the least", "1", float64(r.least))
 }
 
