node: serve metrics

Cause: the operators' port had no metrics. Change: requests, queues, slots, leases, store calls, control messages, dropped events and the revision, by package metrics.

--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -15,7 +15,6 @@
 	"github.com/sapphireplank/sapphireplank/internal/accept"
 	"github.com/sapphireplank/sapphireplank/internal/config"
 	"github.com/sapphireplank/sapphireplank/internal/control"
-	"github.com/sapphireplank/sapphireplank/internal/gateway"
 	"github.com/sapphireplank/sapphireplank/internal/logging"
 	"github.com/sapphireplank/sapphireplank/internal/node"
 	"github.com/sapphireplank/sapphireplank/internal/store"
@@ -120,7 +119,6 @@
 		Dial:          d.options.Network.dialer(name),
 		Events:        timeline.NewLog(timeline.LogOptions{Host: name, Output: events}),
 		Logs:          d.options.Logs,
-		Observer:      gateway.NoObserver{},
 		Tokens:        tokens,
 	})
 	if err != nil {
--- a/internal/gateway/serves.go
+++ b/internal/gateway/serves.go
@@ -2,9 +2,6 @@
 
 import (
 	"slices"
-	"time"
-
-	"github.com/sapphireplank/sapphireplank/internal/outcome"
 )
 
 // Serves reports whether every partition of this cell has an owner with a home, and every other service of the
@@ -39,12 +36,3 @@
 	}
 	return true
 }
-
-// NoObserver counts nothing.
-type NoObserver struct{}
-
-// Answered does nothing.
-func (NoObserver) Answered(string, int, outcome.Outcome, time.Duration) {}
-
-// Retried does nothing.
-func (NoObserver) Retried(string) {}
--- a/internal/gatewaycmd/program.go
+++ b/internal/gatewaycmd/program.go
@@ -14,7 +14,6 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/sapphireplank/sapphireplank/internal/admin"
-	"github.com/sapphireplank/sapphireplank/internal/gateway"
 	"github.com/sapphireplank/sapphireplank/internal/logging"
 	"github.com/sapphireplank/sapphireplank/internal/node"
 	"github.com/sapphireplank/sapphireplank/internal/store"
@@ -150,7 +149,6 @@
 		Store:         store.NewClient(s.Store, &http.Client{}),
 		Events:        log,
 		Logs:          logging.New(errOut, levels),
-		Observer:      gateway.NoObserver{},
 		Tokens:        tokens,
 	}, closeEvents, nil
 }
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -125,8 +125,7 @@
 	}
 	n, err := Start(Options{Host: name, Team: c.config.Team, PeerAddress: host.PeerAddress, CallerAddress: host.CallerAddress,
 		AdminAddress: host.AdminAddress, Seeds: seeds, Store: c.store, Dial: c.network.dial(name),
-		Listen: c.network.listen(name), Events: timeline.NewLog(timeline.LogOptions{Host: name}), Logs: logging.Discard(),
-		Observer: gateway.NoObserver{}})
+		Listen: c.network.listen(name), Events: timeline.NewLog(timeline.LogOptions{Host: name}), Logs: logging.Discard()})
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/node/homes.go
+++ b/internal/node/homes.go
@@ -13,6 +13,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/config"
 	"github.com/sapphireplank/sapphireplank/internal/gateway"
 	"github.com/sapphireplank/sapphireplank/internal/home"
+	"github.com/sapphireplank/sapphireplank/internal/metrics"
 	"github.com/sapphireplank/sapphireplank/internal/peer"
 	"github.com/sapphireplank/sapphireplank/internal/timeline"
 )
@@ -32,6 +33,7 @@
 	dial     peer.DialFunc
 	reports  reporter
 	recorder timeline.Recorder
+	metrics  *metrics.Metrics
 	leaseEnd atomic.Int64
 	byServer atomic.Pointer[map[string]*homeEntry]
 	closing  sync.WaitGroup
@@ -55,8 +57,8 @@
 	leaving    bool
 }
 
-func newHomes(start time.Time, dial peer.DialFunc, recorder timeline.Recorder) *homes {
-	h := &homes{start: start, dial: dial, recorder: recorder}
+func newHomes(start time.Time, dial peer.DialFunc, recorder timeline.Recorder, m *metrics.Metrics) *homes {
+	h := &homes{start: start, dial: dial, recorder: recorder, metrics: m}
 	h.byServer.Store(&map[string]*homeEntry{})
 	return h
 }
@@ -181,6 +183,7 @@
 		defer h.closing.Done()
 		entry.dispatcher.Close()
 		entry.client.Close()
+		h.metrics.ForgetServer(entry.server.server.Name)
 	}()
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/control"
 	"github.com/sapphireplank/sapphireplank/internal/gateway"
 	"github.com/sapphireplank/sapphireplank/internal/logging"
+	"github.com/sapphireplank/sapphireplank/internal/metrics"
 	"github.com/sapphireplank/sapphireplank/internal/peer"
 	"github.com/sapphireplank/sapphireplank/internal/store"
 	"github.com/sapphireplank/sapphireplank/internal/timeline"
@@ -36,12 +37,8 @@
 	Listen func(address string) (net.Listener, error)
 	Events *timeline.Log
 	Logs   *logging.Logs
-	// Observer counts requests.
-	Observer gateway.Observer
 	// Tokens are the bearer tokens of operators. Default: none, so that every call is refused.
 	Tokens *admin.Tokens
-	// Metrics serves /metrics. Default: none.
-	Metrics http.Handler
 }
 
 // Node is one running gateway process.
@@ -52,6 +49,7 @@
 	pool      *peer.Pool
 	gateway   *gateway.Gateway
 	homes     *homes
+	metrics   *metrics.Metrics
 	loop      *control.Loop
 	peers     *peer.Server
 	callers   *http.Server
@@ -71,15 +69,17 @@
 	if o.Listen == nil {
 		o.Listen = listenTCP
 	}
-	n := &Node{options: o, start: time.Now(), log: o.Logs.Part("node")}
+	n := &Node{options: o, start: time.Now(), log: o.Logs.Part("node"), metrics: metrics.New()}
+	n.metrics.CountDropped(o.Events.Dropped)
+	n.options.Store = n.metrics.CountStore(o.Store)
 	n.pool = peer.NewPool(o.Dial)
-	n.homes = newHomes(n.start, o.Dial, o.Events)
+	n.homes = newHomes(n.start, o.Dial, o.Events, n.metrics)
 	n.gateway = gateway.New(gateway.Options{
 		Self:     o.Host,
 		Homes:    n.homes,
 		Peers:    n.pool,
 		Events:   o.Events,
-		Observer: o.Observer,
+		Observer: requestObserver{n.metrics},
 	})
 	n.loop = control.New(n.controlOptions())
 	n.homes.reports = n.loop
@@ -102,12 +102,12 @@
 		Incarnation: newIncarnation(),
 		Seed:        rand.Uint64(),
 		Seeds:       o.Seeds,
-		Sender:      n.pool,
+		Sender:      countingSender{n.pool, n.metrics},
 		Store:       o.Store,
 		Start:       n.start,
 		Clock:       o.Events,
 		Recorder:    o.Events,
-		Publisher:   &publisher{host: o.Host, homes: n.homes, gateway: n.gateway},
+		Publisher:   &publisher{host: o.Host, homes: n.homes, gateway: n.gateway, metrics: n.metrics},
 		Log:         o.Logs.Part("control"),
 	}
 }
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -24,9 +24,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", n.health)
 	mux.HandleFunc("GET /readyz", n.ready)
-	if n.options.Metrics != nil {
-		mux.Handle("GET /metrics", n.options.Metrics)
-	}
+	mux.Handle("GET /metrics", n.metrics.Handler())
 	mux.HandleFunc("/debug/pprof/", pprof.Index)
 	mux.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
 	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
--- a/internal/node/publisher.go
+++ b/internal/node/publisher.go
@@ -1,9 +1,12 @@
 package node
 
 import (
+	"time"
+
 	"github.com/sapphireplank/sapphireplank/internal/cell"
 	"github.com/sapphireplank/sapphireplank/internal/config"
 	"github.com/sapphireplank/sapphireplank/internal/gateway"
+	"github.com/sapphireplank/sapphireplank/internal/metrics"
 )
 
 // publisher hands the state of the control goroutine to the traffic.
@@ -11,8 +14,10 @@
 	host    string
 	homes   *homes
 	gateway *gateway.Gateway
-	// view is used by the control goroutine only.
-	view *gateway.View
+	metrics *metrics.Metrics
+	// view and lease are used by the control goroutine only.
+	view  *gateway.View
+	lease time.Duration
 }
 
 // Configured computes the routing of a new configuration.
@@ -22,6 +27,7 @@
 		snapshot = p.view.Snapshot
 	}
 	p.homes.Configure(c)
+	p.metrics.SetRevision(c.Revision)
 	p.view = gateway.NewView(p.host, c, snapshot)
 }
 
@@ -30,6 +36,7 @@
 	if p.view == nil {
 		return
 	}
+	p.measureLease(s)
 	p.homes.Apply(s)
 	p.view = p.view.WithSnapshot(s)
 	p.gateway.SetView(p.view)
