cell: share one message between reports that follow each other closely

Each released partition caused a heartbeat with all pending releases, so that a home with 4,096 partitions would have sent as many, and the ring of 16 send times would have forgotten the heartbeats whose replies renew the lease.

--- a/internal/cell/constants.go
+++ b/internal/cell/constants.go
@@ -24,6 +24,8 @@
 	// driftPercent is the drift between the rates of two monotonic clocks.
 	driftPercent = 1
 
+	// urgentInterval is the shortest interval between a heartbeat and one that carries an urgent report.
+	urgentInterval = 20 * time.Millisecond
 	// claimRetry is the interval between repeats of a claim without a decision.
 	claimRetry = 50 * time.Millisecond
 	// storeClaimRetry is the interval between repeats of a claim in the store without a result.
@@ -82,8 +84,9 @@
 	maxLogBatches = 256
 	// maxRegisterEntries bounds the claims that an arbiter remembers of one cell.
 	maxRegisterEntries = 8
-	// sentHeartbeats is the number of heartbeats whose send time a member remembers.
-	sentHeartbeats = 16
+	// sentHeartbeats is the number of heartbeats, and of renewals, whose send time is remembered. At urgentInterval
+	// they cover more than a lease.
+	sentHeartbeats = 64
 	// maxProbedHosts bounds the gateways of other cells that a holder probes at a time.
 	maxProbedHosts = 2
 
--- a/internal/cell/contact.go
+++ b/internal/cell/contact.go
@@ -15,6 +15,8 @@
 	locateAt time.Duration
 	// noticedAt is the time of the last answer to a gateway with an outdated term.
 	noticedAt time.Duration
+	// urgent is true while a report should not wait for the next heartbeat.
+	urgent bool
 }
 
 // holderLive reports whether the holder answered this gateway recently.
@@ -29,6 +31,7 @@
 
 // tickContact sends heartbeats, or asks the cell for the holder.
 func (n *Node) tickContact(now time.Duration) {
+	n.sendUrgent(now)
 	if n.Acting(now) {
 		return
 	}
@@ -96,6 +99,20 @@
 	}
 }
 
+// sendUrgent reports before the next heartbeat. Reports that follow each other closely share one message.
+func (n *Node) sendUrgent(now time.Duration) {
+	if !n.contact.urgent || now-n.contact.sentAt < urgentInterval {
+		return
+	}
+	n.contact.urgent = false
+	if n.Acting(now) {
+		n.contact.sentAt = now
+		n.selfHeartbeat(now)
+		return
+	}
+	n.sendHeartbeat(now)
+}
+
 // sendHeartbeat reports to the holder and asks for a home lease (H1).
 func (n *Node) sendHeartbeat(now time.Duration) {
 	if n.config == nil || n.holder != nil || n.pair.Holder.IsZero() || n.pair.Holder == n.self {
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -199,11 +199,8 @@
 		n.changed = true
 	}
 	n.updateSnapshot()
-	if n.Acting(now) {
-		n.selfHeartbeat(now)
-	} else if r.urgent() {
-		n.sendHeartbeat(now)
-	}
+	n.contact.urgent = n.contact.urgent || r.urgent()
+	n.sendUrgent(now)
 	return n.finish(now)
 }
 
