--- a/internal/cell/history_test.go
+++ b/internal/cell/history_test.go
@@ -49,7 +49,7 @@
 		g = h
 	}
 	brief := time.Duration(w.rng.Int64N(int64(2 * time.Second)))
-	switch w.rng.IntN(12) {
+	switch w.rng.IntN(14) {
 	case 0, 1:
 		g.crash()
 		w.after(brief/2, func() { w.restart(g) })
@@ -78,6 +78,8 @@
 		w.revise()
 	case 10:
 		g.leave(brief)
+	case 12, 13:
+		w.dispute(brief)
 	case 11:
 		for _, host := range w.hosts {
 			if w.rng.IntN(2) == 0 {
@@ -89,6 +91,26 @@
 	}
 }
 
+// dispute loses the arbiter, and cuts holder and successor apart about when they change it.
+func (w *world) dispute(d time.Duration) {
+	holder := w.holder()
+	if holder == nil {
+		return
+	}
+	pair := holder.node.Pair()
+	if arbiter, ok := w.gateways[pair.Arbiter.Host]; ok {
+		arbiter.pause()
+		w.after(d, arbiter.wake)
+	}
+	w.after(300*ms+time.Duration(w.rng.Int64N(int64(300*ms))), func() {
+		for _, link := range [][2]string{{holder.host, pair.Successor.Host}, {pair.Successor.Host, holder.host}} {
+			if w.rng.IntN(3) > 0 {
+				w.block(link[0], link[1], d)
+			}
+		}
+	})
+}
+
 // restart replaces a process that is down.
 func (w *world) restart(g *gateway) {
 	if g.down && w.gateways[g.host] == g {
--- a/internal/cell/mutation_test.go
+++ b/internal/cell/mutation_test.go
@@ -16,19 +16,19 @@
 }{
 	{rule: "A1 holder's lease", faults: faults{actBeyondLease: true}},
 	{rule: "A2 successor's wait", faults: faults{claimAtOnce: true}},
-	{rule: "A3 first claim wins", faults: faults{grantEveryClaim: true}, first: 11},
-	{rule: "A6 both arbiters", faults: faults{newArbiterOnly: true}, first: 252},
-	{rule: "A8 wait", faults: faults{noRecoveryWait: true}, first: 30},
+	{rule: "A3 first claim wins", faults: faults{grantEveryClaim: true}, first: 13},
+	{rule: "A6 both arbiters", faults: faults{newArbiterOnly: true}, first: 276},
+	{rule: "A8 wait", faults: faults{noRecoveryWait: true}, first: 79},
 	{rule: "A8 polls", faults: faults{noPoll: true}},
-	{rule: "H1 lease from the sending", faults: faults{leaseFromReceipt: true}, first: 150},
+	{rule: "H1 lease from the sending", faults: faults{leaseFromReceipt: true}, first: 175},
 	{rule: "H3 wait for home leases", faults: faults{noHomeWait: true}},
-	{rule: "H3 lease after the loss is published", faults: faults{leaseDisplaced: true}, first: 13},
+	{rule: "H3 lease after the loss is published", faults: faults{leaseDisplaced: true}, first: 30},
 	{rule: "H4 release before the move", faults: faults{noRelease: true}},
-	{rule: "release by the other cell", faults: faults{noRights: true}, first: 17},
-	{rule: "A3 withdrawal before an acknowledgement", faults: faults{ackAfterClaim: true}, first: 63},
+	{rule: "release by the other cell", faults: faults{noRights: true}, first: 256},
+	{rule: "A3 withdrawal before an acknowledgement", faults: faults{ackAfterClaim: true}, first: 70},
 	{rule: "H7 publication after the acknowledgement", faults: faults{publishUnacked: true}},
 	{rule: "A8 promise", faults: faults{noPromise: true}, scenario: lateGeneration},
-	{rule: "messages of lower terms", faults: faults{acceptOldTerms: true}, first: 14},
+	{rule: "messages of lower terms", faults: faults{acceptOldTerms: true}, first: 78},
 }
 
 // lateGeneration restarts all gateways of a cell. The one that first writes the generation gets the response so late
