--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -183,7 +183,8 @@
 	if ok && n.cell == "" {
 		n.cell = host.Cell
 	}
-	if !ok && n.cell != "" {
+	// A host that left the configuration or its cell stops here; a restarted process joins its new cell.
+	if n.cell != "" && (!ok || host.Cell != n.cell) {
 		n.leaving = true
 	}
 	n.hosts = c.CellHosts(n.cell)
--- a/internal/cell/nodeconfig.go
+++ b/internal/cell/nodeconfig.go
@@ -20,7 +20,7 @@
 	// With them, a start or recovery waits until Configure was called with the revision that the store has.
 	ConfigKey      string
 	ConfigRevision func(value []byte) (uint64, error)
-	// Random is the source of random delays.
+	// Random is the source of random delays. It is required.
 	Random *rand.Rand
 	// Assign is the assignment policy. Default: AssignEvenly.
 	Assign AssignFunc
