--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -183,7 +183,8 @@
 	if ok && n.cell == "" {
 		n.cell = host.Cell
 	}
-	if !ok && n.cell != "" {
+	// A host that left the configuration or its cell stops here; a restarted process joins its new cell.
+	if n.cell != "" && (!ok || host.Cell != n.cell) {
 		n.leaving = true
 	}
 	n.hosts = c.CellHosts(n.cell)
@@ -199,11 +200,8 @@
 		n.changed = true
 	}
 	n.updateSnapshot()
-	if n.Acting(now) {
-		n.selfHeartbeat(now)
-	} else if r.urgent() {
-		n.sendHeartbeat(now)
-	}
+	n.contact.urgent = n.contact.urgent || r.urgent()
+	n.sendUrgent(now)
 	return n.finish(now)
 }
 
