--- a/internal/confsync/accept.go
+++ b/internal/confsync/accept.go
@@ -29,7 +29,7 @@
 )
 
 // Accept writes one document to the store by compare-and-swap. It is pure: the caller executes Request and passes the
-// result to Result, until Outcome is not AcceptPending or its patience ends and it calls GiveUp.
+// result to Result, until Outcome is not AcceptPending, or calls GiveUp at its deadline.
 type Accept struct {
 	seen     Version
 	document Document
--- a/internal/confsync/node_test.go
+++ b/internal/confsync/node_test.go
@@ -183,3 +183,77 @@
 		}
 	}
 }
+
+var threeHosts = Topology{Cell: "c", Holder: "h2", Cells: []Cell{{Name: "c", Hosts: []string{"h1", "h2", "h3"}}}}
+
+// Guards against a fresh gateway that starts with the first answer although a peer that knows a greater revision, or
+// the store, has not answered yet.
+func TestStartWaitsForAllAnswers(t *testing.T) {
+	document := testDocument(7, "b")
+	for name, inputs := range map[string][]func(n *Node, now time.Duration){
+		"peer last": {
+			func(n *Node, now time.Duration) {
+				answer(n, now, StoreResult{Version: 6, Document: testDocument(6, "a")})
+			},
+			func(n *Node, now time.Duration) {
+				n.Receive(now, "h2", Exchange{State: State{Revision: 6, Tag: Version{ID: "a"}.Tag()}, Reply: true})
+			},
+			func(n *Node, now time.Duration) {
+				n.Receive(now, "h3", Exchange{State: State{Revision: 7}, Reply: true})
+			},
+			func(n *Node, now time.Duration) {
+				n.Receive(now, "h3", Content{Version: document.Version, Data: document.Bytes})
+			},
+		},
+		"store last": {
+			func(n *Node, now time.Duration) {
+				n.Receive(now, "h2", Content{Version: Version{Revision: 6, ID: "a"}, Data: []byte("6 a")})
+			},
+			func(n *Node, now time.Duration) {
+				n.Receive(now, "h2", Exchange{State: State{Revision: 6}, Reply: true})
+			},
+			func(n *Node, now time.Duration) {
+				n.Receive(now, "h3", Exchange{State: State{Revision: 6}, Reply: true})
+			},
+			func(n *Node, now time.Duration) { answer(n, now, StoreResult{Version: 7, Document: document}) },
+		},
+	} {
+		n := testNode()
+		n.Start(0, []string{"h2"})
+		for i, input := range inputs {
+			if got := n.InForce(); got.Revision != 0 {
+				t.Fatalf("%s: revision %d in force before input %d", name, got.Revision, i)
+			}
+			input(n, time.Duration(i+1))
+			n.Configure(time.Duration(i+1), threeHosts)
+		}
+		n.Tick(ConfirmWait + 1*time.Second)
+		if got := n.InForce(); got.Revision != 7 {
+			t.Errorf("%s: revision %d in force at the end", name, got.Revision)
+		}
+	}
+}
+
+// Guards against a document that is in force before a second gateway of the cell holds it, or not at all when the
+// others are silent.
+func TestSecondCopyBeforeInForce(t *testing.T) {
+	for _, confirmed := range []bool{false, true} {
+		n := testNode()
+		n.Accepted(0, testDocument(7, "b"))
+		n.Configure(0, threeHosts)
+		n.PeerState(1, "h2", State{Revision: 6})
+		n.PeerState(1, "h3", State{Revision: 7})
+		n.PeerState(1, "elsewhere", n.State())
+		if n.Tick(ConfirmWait - 1); n.InForce().Revision != 0 {
+			t.Fatal("in force although no gateway of the cell holds the document")
+		}
+		if confirmed {
+			n.PeerState(ConfirmWait-1, "h3", n.State())
+		} else {
+			n.Tick(ConfirmWait)
+		}
+		if n.InForce().Revision != 7 {
+			t.Fatalf("not in force; confirmed by a peer: %v", confirmed)
+		}
+	}
+}
