--- a/internal/timeline/mergecmd/run.go
+++ b/internal/timeline/mergecmd/run.go
@@ -5,12 +5,12 @@
 	"fmt"
 	"io"
 	"os"
-	"runtime/debug"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 
 	"github.com/sapphireplank/sapphireplank/internal/timeline/merge"
+	"github.com/sapphireplank/sapphireplank/internal/version"
 )
 
 // Exit codes.
@@ -20,6 +20,8 @@
 	ExitUsage  = 2
 )
 
+const program = "plank-timeline"
+
 const description = "Merges the event files of several processes into one time line, ordered by hybrid logical time. " +
 	"Exit code 0: done, 1: failed, 2: wrong usage."
 
@@ -33,7 +35,7 @@
 // Run runs the program with arguments, without the program's name, and returns its exit code.
 func Run(arguments []string, streams Streams) int {
 	var o options
-	parser := flags.NewNamedParser("plank-timeline", flags.HelpFlag|flags.PassDoubleDash)
+	parser := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = description
 	if _, err := parser.AddGroup("Options", "", &o); err != nil {
 		return fail(streams, ExitFailed, err)
@@ -42,7 +44,7 @@
 		return usage(streams, err)
 	}
 	if o.Version {
-		_, _ = fmt.Fprintln(streams.Out, "plank-timeline", version())
+		_, _ = fmt.Fprintln(streams.Out, version.Line(program))
 		return ExitDone
 	}
 	if len(o.Positional.Files) == 0 {
@@ -117,11 +119,3 @@
 	_, _ = fmt.Fprintln(streams.Err, "plank-timeline:", err)
 	return code
 }
-
-func version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok || info.Main.Version == "" {
-		return "(devel)"
-	}
-	return info.Main.Version
-}
