assign: move nothing for a deviation that sampling error explains

With few requests for each partition the estimated loads of servers deviate by chance, and partitions moved for it.

--- a/internal/assign/bench_test.go
+++ b/internal/assign/bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/sapphireplank/sapphireplank/internal/config"
 	"github.com/sapphireplank/sapphireplank/internal/keyspace"
@@ -56,3 +57,29 @@
 		})
 	}
 }
+
+// BenchmarkSketchObserve measures what a home pays for each request: heavy keys are counted in place, others replace
+// the lightest counter.
+func BenchmarkSketchObserve(b *testing.B) {
+	for _, name := range []string{"zipf", "uniform"} {
+		b.Run(name, func(b *testing.B) {
+			random := rand.New(rand.NewPCG(1, 2))
+			zipf := rand.NewZipf(random, 1.1, 1, 99_999)
+			keys := make([]string, 1<<16)
+			for i := range keys {
+				rank := random.Uint64N(100_000)
+				if name == "zipf" {
+					rank = zipf.Uint64()
+				}
+				keys[i] = fmt.Sprintf("key-%d", rank)
+			}
+			sketch := NewSketch(256, 500*time.Millisecond)
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				sketch.Observe(keys[i%len(keys)], 1)
+				i++
+			}
+		})
+	}
+}
--- a/internal/assign/input.go
+++ b/internal/assign/input.go
@@ -28,6 +28,9 @@
 	HotKeys []KeyLoad
 	// OverrideLimit bounds the overrides of this service. 0 means MaxOverrides.
 	OverrideLimit int
+	// LoadError is the standard error of the load of a partition. Deviations that it explains move nothing. 0 means
+	// that the loads are exact.
+	LoadError float64
 	// Capacity is the work per second that a server of weight 1 executes at most, in the unit of the loads. It
 	// keeps the policy from moving work while the service is almost idle. 0 means unknown.
 	Capacity float64
--- a/internal/assign/shrink.go
+++ b/internal/assign/shrink.go
@@ -1,6 +1,9 @@
 package assign
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // noiseCut bounds how much one reading counts as noise, in standard deviations, so that a change of the hot keys
 // does not pass for noise.
@@ -50,6 +53,11 @@
 	s.signal = min(1, max(0, 1-s.variance*s.squares/observed))
 }
 
+// standardError returns the standard error of an average after the noise was left out.
+func (s *shrinkage) standardError() float64 {
+	return math.Sqrt(s.signal * s.variance * s.squares)
+}
+
 func meanOf(values []float64) float64 {
 	sum := 0.0
 	for _, value := range values {
--- a/internal/assign/tracker.go
+++ b/internal/assign/tracker.go
@@ -91,6 +91,14 @@
 	return (t.mean + t.shrink.signal*(t.rates[id]-t.mean)) / t.weight.weight
 }
 
+// LoadError returns the standard error of the load of a partition.
+func (t *Tracker) LoadError() float64 {
+	if t.weight.weight == 0 {
+		return 0
+	}
+	return t.shrink.standardError() / t.weight.weight
+}
+
 // HotKeys returns the loads of the keys with an override and of the heavy keys, in the order of their names.
 func (t *Tracker) HotKeys() []KeyLoad {
 	hot := make([]KeyLoad, 0, len(t.keys)+len(t.heavy))
--- a/internal/bench/cost.go
+++ b/internal/bench/cost.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"runtime"
-	"time"
 )
 
 const (
@@ -46,7 +45,7 @@
 	slopes = append(slopes, documents...)
 	report := &Report{
 		Notes: []string{
-			fmt.Sprintf("Time: least of %d runs on one core. Memory: growth of the heap after garbage collection.", costRepeats),
+			fmt.Sprintf("Time: processor time of the process, least of %d timings of at least 20 ms each. Memory: growth of the heap after garbage collection.", costRepeats),
 			"Slope, intercept and r2 are of the line through the points by least squares.",
 		},
 	}
@@ -76,17 +75,6 @@
 	)
 }
 
-// leastTime returns the least time of several runs, in milliseconds.
-func leastTime(run func()) float64 {
-	least := time.Duration(1<<63 - 1)
-	for range costRepeats {
-		started := time.Now()
-		run()
-		least = min(least, time.Since(started))
-	}
-	return float64(least.Nanoseconds()) / 1e6
-}
-
 // heapGrowth returns the bytes by which build makes the heap grow.
 func heapGrowth(build func() any) float64 {
 	var before, after runtime.MemStats
--- a/internal/bench/cost_document.go
+++ b/internal/bench/cost_document.go
@@ -47,7 +47,7 @@
 		if err != nil {
 			return s, err
 		}
-		milliseconds := leastTime(func() {
+		milliseconds := processorMillis(func() {
 			var decoded config.Config
 			err = errors.CombineErrors(err, json.Unmarshal(encoded, &decoded))
 		})
--- a/internal/bench/cost_time.go
+++ b/internal/bench/cost_time.go
@@ -29,7 +29,7 @@
 func lossTime(seed uint64, partitions, servers int) float64 {
 	in := assignInput(seed, partitions, servers)
 	in.Servers[0].State = assign.Down
-	return leastTime(func() { assign.Policy{}.Next(in) })
+	return processorMillis(func() { assign.Policy{}.Next(in) })
 }
 
 func assignTimeByPartitions(seed uint64) slope {
@@ -53,7 +53,7 @@
 	s := slope{name: "placement-time", xLabel: "cells", yUnit: "ms"}
 	for _, cells := range []int{1, 16, 64, 256} {
 		document := syntheticConfig(cells, 12, 65536, cells*10)
-		milliseconds := leastTime(func() { document.Place(&document.Services[0]) })
+		milliseconds := processorMillis(func() { document.Place(&document.Services[0]) })
 		s.points = append(s.points, Point{X: float64(cells), Y: milliseconds})
 	}
 	return s
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -23,6 +23,17 @@
 	})
 }
 
+// joinLargeExperiment joins a service of the target size. Its rate leaves few requests for each partition, so it also
+// shows what noise does.
+func joinLargeExperiment() Experiment {
+	return fleetExperiment("join-large", "A cold server joins 1,000 servers with 65,536 partitions and uniform keys.", func(config *modelConfig) {
+		config.servers = 1000
+		config.partitions = 65536
+		config.rate = 100
+		config.event = joinEvent
+	})
+}
+
 // joinEvent adds a cold server.
 func joinEvent(now time.Duration, servers []assign.Server) []assign.Server {
 	if now == eventAt {
--- a/internal/bench/plank.go
+++ b/internal/bench/plank.go
@@ -105,6 +105,7 @@
 		Partitions:      p.partitions,
 		Overrides:       p.overrides,
 		HotKeys:         p.tracker.HotKeys(),
+		LoadError:       p.tracker.LoadError(),
 		UnbalancedSince: p.unbalancedSince,
 	})
 	p.unbalancedSince = result.UnbalancedSince
