--- a/internal/bench/experiment.go
+++ b/internal/bench/experiment.go
@@ -13,7 +13,8 @@
 
 // Experiments returns all experiments in the order in which they run.
 func Experiments() []Experiment {
-	return []Experiment{shiftExperiment(), uniformExperiment(), joinExperiment(), joinLargeExperiment(), leaveExperiment(), rollingExperiment(), costExperiment()}
+	return []Experiment{shiftExperiment(), uniformExperiment(), joinExperiment(), leaveExperiment(), rollingExperiment(),
+		joinTargetExperiment(), leaveTargetExperiment(), joinLargeExperiment(), costExperiment()}
 }
 
 // Find returns the experiment with the given name.
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -17,6 +17,9 @@
 	replaceAfter = 10 * time.Second
 )
 
+// fleetEvent returns the servers at a time, given those before.
+type fleetEvent func(now time.Duration, servers []assign.Server) []assign.Server
+
 func joinExperiment() Experiment {
 	return fleetExperiment("join", "A cold server joins 16 servers with uniform keys.", func(config *modelConfig) {
 		config.event = joinEvent
--- a/internal/bench/model.go
+++ b/internal/bench/model.go
@@ -40,8 +40,8 @@
 	slots       int
 	utilization float64
 	target      float64
-	// event changes the servers before each round.
-	event func(now time.Duration, servers []assign.Server) []assign.Server
+	// event changes the servers before each round. nil means that they do not change.
+	event fleetEvent
 }
 
 // settings returns the sizes for a report.
--- a/internal/bench/values.go
+++ b/internal/bench/values.go
@@ -14,6 +14,9 @@
 		return notMeasured
 	}
 	quantiles := imbalance.Counted
+	if !expected && quantiles.Max == 0 {
+		return notMeasured
+	}
 	if expected {
 		quantiles = imbalance.Expected
 	}
