--- a/internal/assign/hotkeys_test.go
+++ b/internal/assign/hotkeys_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -91,6 +92,19 @@
 	}
 }
 
+// Guards against undefined values in the result of an empty cell and of loads that are not numbers.
+func TestOddInputs(t *testing.T) {
+	if result := (Policy{}).Next(&Input{Servers: []Server{{Name: "a", State: Up}}, PartitionCount: 8}); result.Imbalance != 0 {
+		t.Errorf("imbalance %v without partitions", result.Imbalance)
+	}
+	in := evenInput(2)
+	in.Partitions[0].Load, in.Partitions[1].Load, in.Capacity = math.NaN(), math.Inf(1), -1
+	in.HotKeys = []KeyLoad{{Key: "nan", Load: math.NaN()}, {Key: "negative", Load: -5}}
+	if result := (Policy{}).Next(in); result.Imbalance < 1 || result.Imbalance > maxImbalance || len(result.Overrides) > 0 {
+		t.Errorf("imbalance %v, overrides %v", result.Imbalance, result.Overrides)
+	}
+}
+
 // Guards against a key hotter than a server that is not named, that drags other work with it, or that moves from
 // server to server.
 func TestTooHotKeyIsNamedAndStays(t *testing.T) {
--- a/internal/assign/policy.go
+++ b/internal/assign/policy.go
@@ -15,7 +15,7 @@
 func (p Policy) Next(in *Input) *Result {
 	tuning := p.tuning(in.Preference)
 	r := newRound(in, &tuning)
-	if r.capacitySum == 0 {
+	if r.capacitySum == 0 || len(r.units) == 0 {
 		return r.result()
 	}
 	r.computeShare()
--- a/internal/assign/report.go
+++ b/internal/assign/report.go
@@ -21,7 +21,7 @@
 	}
 	r.addOverrides(result)
 	r.addReturns(result)
-	if r.capacitySum > 0 {
+	if r.share > 0 {
 		result.Imbalance = r.imbalance()
 	}
 	return result
