--- a/internal/bench/experiment.go
+++ b/internal/bench/experiment.go
@@ -13,7 +13,9 @@
 
 // Experiments returns all experiments in the order in which they run.
 func Experiments() []Experiment {
-	return append([]Experiment{shiftExperiment(), uniformExperiment(), joinExperiment(), leaveExperiment(), rollingExperiment(), costExperiment()}, registered...)
+	own := []Experiment{shiftExperiment(), uniformExperiment(), joinExperiment(), leaveExperiment(), rollingExperiment(),
+		joinTargetExperiment(), leaveTargetExperiment(), joinLargeExperiment(), costExperiment()}
+	return append(own, registered...)
 }
 
 // Find returns the experiment with the given name.
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -17,12 +17,26 @@
 	replaceAfter = 10 * time.Second
 )
 
+// fleetEvent returns the servers at a time, given those before.
+type fleetEvent func(now time.Duration, servers []assign.Server) []assign.Server
+
 func joinExperiment() Experiment {
 	return fleetExperiment("join", "A cold server joins 16 servers with uniform keys.", func(config *modelConfig) {
 		config.event = joinEvent
 	})
 }
 
+// joinLargeExperiment joins a service of the target size. Its rate leaves few requests for each partition, so it also
+// shows what noise does.
+func joinLargeExperiment() Experiment {
+	return fleetExperiment("join-large", "A cold server joins 1,000 servers with 65,536 partitions and uniform keys.", func(config *modelConfig) {
+		config.servers = 1000
+		config.partitions = 65536
+		config.rate = 100
+		config.event = joinEvent
+	})
+}
+
 // joinEvent adds a cold server.
 func joinEvent(now time.Duration, servers []assign.Server) []assign.Server {
 	if now == eventAt {
--- /dev/null
+++ b/scripts/tour.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Runs the commands of the README's tour as they stand there. Any failing command fails the script.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p out
+rm -f out/questionnaire.ini
+awk '/^```sh tour$/ { inside = 1; next } /^```$/ { inside = 0 } inside' README.md > out/tour.sh
+sh -eu out/tour.sh
+echo "tour: 1 passed, 0 failed"
