--- a/internal/controlcost/configfleet.go
+++ b/internal/controlcost/configfleet.go
@@ -20,8 +20,8 @@
 	configHosts = 12
 	// configChanges is the number of accepts of each run.
 	configChanges = 1000
-	// changeInterval separates two accepts. 49,000 changes a day are one in 1.8 s.
-	changeInterval = 1800 * time.Millisecond
+	// changeInterval separates two accepts. 49,000 changes a day are one in 1.8 s, so that this is 7 times the rate.
+	changeInterval = 250 * time.Millisecond
 	// configTick is the interval of the state machines.
 	configTick = 50 * time.Millisecond
 	// lastChangeTime is the time for the last change to take effect.
@@ -51,7 +51,7 @@
 		},
 		Notes: []string{
 			"Bytes are those of exchanges, pulls and documents, sent and received. Heartbeats carry the revision and are counted in the experiment control. Documents of the simulation have about 250 bytes.",
-			"Accepts start on a random gateway; the time counts from the answer of the store.",
+			"Accepts go through one random gateway; the time counts from the answer of the store.",
 		},
 	}
 	for _, faulty := range []bool{false, true} {
@@ -98,8 +98,9 @@
 	r.network = confsim.New(options)
 	r.network.Run(configWarm)
 	before, began, cpu := r.traffic(), r.network.Now(), threadTime()
+	// All accepts go through one gateway, so that each is based on the one before and none conflicts.
+	host := r.network.Hosts[r.network.Random().IntN(len(r.network.Hosts))]
 	for range configChanges {
-		host := r.network.Hosts[r.network.Random().IntN(len(r.network.Hosts))]
 		r.network.Accept(host, r.done)
 		r.network.Run(changeInterval)
 	}
@@ -131,6 +132,11 @@
 	revision := host.InForce().Revision
 	earlier := r.shown[host]
 	r.shown[host] = revision
+	r.passed(earlier, revision)
+}
+
+// passed counts one gateway for each revision after earlier up to revision.
+func (r *configRun) passed(earlier, revision uint64) {
 	for passed := earlier + 1; passed <= revision; passed++ {
 		if _, ok := r.pending[passed]; ok {
 			r.pending[passed]--
--- a/internal/live/frozen.go
+++ b/internal/live/frozen.go
@@ -53,8 +53,11 @@
 			passed[e.Key] = e
 		}
 	}
-	late, resumed, twice := 0, 0, 0
+	late, resumed, twice, inProgress := 0, 0, 0, 0
 	for _, e := range executions {
+		if e.Server == f.server && e.Start.Before(f.from) && !e.End.Before(f.thawed) {
+			inProgress++
+		}
 		if e.Server != f.server || e.Start.Before(f.thawed) {
 			continue
 		}
@@ -72,6 +75,7 @@
 	for _, n := range r.deployment.Backend(f.server).Counters().Refused {
 		refused += n
 	}
+	r.figure("executions in progress at the freeze, given up at the thaw", "1", float64(inProgress))
 	r.figure("executions of the frozen server after its thaw", "1", float64(resumed))
 	r.figure("executions after another server had the key", "1", float64(late))
 	r.figure("identities executed more than once", "1", float64(twice))
--- a/internal/live/measurement.go
+++ b/internal/live/measurement.go
@@ -59,6 +59,7 @@
 		}
 	}
 	r.figure("promise violations", "1", float64(total))
+	r.noteOverlaps()
 }
 
 func (r *run) imbalance() {
@@ -68,9 +69,29 @@
 			r.figure("imbalance of "+i.Service+", worst second", "max/mean", i.Worst)
 		}
 	}
+	for _, s := range r.deployment.Config.Services {
+		if ratio, ok := r.wholeImbalance(s.Name, len(s.Servers)); ok {
+			r.figure("imbalance of "+s.Name+", whole run", "max/mean", ratio)
+		}
+	}
 	r.figure("partitions moved at the least", "1", float64(r.least))
 }
 
+// wholeImbalance returns the executions of the busiest server over the mean, for the whole run. With few executions
+// per server it is mostly chance.
+func (r *run) wholeImbalance(service string, servers int) (float64, bool) {
+	counts := make(map[string]int)
+	total, most := 0, 0
+	for _, e := range r.deployment.Executions.All() {
+		if e.Service == service {
+			counts[e.Server]++
+			total++
+			most = max(most, counts[e.Server])
+		}
+	}
+	return float64(most) * float64(servers) / float64(max(1, total)), total > 0
+}
+
 func (r *run) unavailable() {
 	for _, s := range r.deployment.Config.Services {
 		u := r.deployment.UnavailableOf(s.Name, r.start, r.end(), func(dev.Record) bool { return true })
--- a/internal/live/options.go
+++ b/internal/live/options.go
@@ -10,7 +10,7 @@
 type Options struct {
 	Duration   time.Duration `long:"duration" value-name:"DURATION" default:"10s" description:"Length of each run of a live experiment, as a duration with unit"`
 	Scale      float64       `long:"scale" value-name:"NUMBER" default:"0.05" description:"Load of live experiments relative to the slot capacity of the backend servers, without unit"`
-	Deployment string        `long:"deployment" value-name:"NAME" choice:"moravia" choice:"kyushu" default:"moravia" description:"Deployment of live experiments"`
+	Deployment string        `long:"deployment" value-name:"NAME" default:"moravia" description:"Deployment of live experiments, moravia or kyushu"`
 	Revisions  int           `long:"revisions" value-name:"NUMBER" default:"1000" description:"Accepted revisions of the experiment config-burst"`
 }
 
--- a/internal/live/steady.go
+++ b/internal/live/steady.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/sapphireplank/sapphireplank/internal/bench"
-	"github.com/sapphireplank/sapphireplank/internal/config"
 	"github.com/sapphireplank/sapphireplank/internal/dev"
 )
 
@@ -25,9 +24,9 @@
 const (
 	// heavyFactor is what the heavy subscriber offers, relative to the capacity of the service.
 	heavyFactor = 10
-	// heavyServiceTime is the mean execution time at scale 1, for servers of one slot. Longer executions lower the
-	// capacity of the service instead of the load, so that a small load fills it.
-	heavyServiceTime = 2500 * time.Microsecond
+	// heavyServiceTime is the mean execution time at scale 1. Longer executions lower the capacity of the service
+	// instead of the load, so that a small load fills it.
+	heavyServiceTime = 3 * time.Millisecond
 	// heavyProbedKeys keeps the load of the probes small beside the capacity.
 	heavyProbedKeys = 4
 )
@@ -37,7 +36,6 @@
 	column := func(name string, factor float64) *scenario {
 		return &scenario{
 			name:        name,
-			configure:   oneSlot,
 			serviceTime: func(o *Options) time.Duration { return time.Duration(float64(heavyServiceTime) / o.Scale) },
 			load: func(_ *Options, l *dev.Load) {
 				l.Scale, l.Heavy, l.ProbedKeys = 1, factor, heavyProbedKeys
@@ -51,16 +49,10 @@
 		scenarios: func() []*scenario {
 			return []*scenario{column("with the heavy subscriber", heavyFactor), column("without it", 0)}
 		},
-		notes: []string{"Servers have 1 slot and a mean execution time of 2.5 ms over the scale, so that the capacity is small and the offered load is not scaled."},
+		notes: []string{"Servers have a mean execution time of 3 ms over the scale, so that the capacity is small and the offered load is not scaled. The heavy subscriber has at most 400 requests in progress."},
 	}.build(o)
 }
 
-func oneSlot(c *config.Config) {
-	for i := range c.Services {
-		c.Services[i].Slots = 1
-	}
-}
-
 // heavyShare measures the slot time that the heavy subscriber gets of what the others leave.
 func heavyShare(r *run) {
 	service := r.keyedService()
