--- a/internal/controlcost/configfleet.go
+++ b/internal/controlcost/configfleet.go
@@ -50,6 +50,7 @@
 	report := &bench.Report{
 		Settings: []bench.Setting{
 			{Name: "changes", Value: fmt.Sprintf("%d for each size, one every %s", configChanges, changeInterval)},
+			{Name: "load average at the start", Value: bench.LoadAverage()},
 			{Name: "gateways per cell", Value: fmt.Sprint(configHosts)},
 		},
 		Notes: []string{
--- a/internal/controlcost/control.go
+++ b/internal/controlcost/control.go
@@ -46,6 +46,7 @@
 	report := &bench.Report{
 		Settings: []bench.Setting{
 			{Name: "measured time", Value: fmt.Sprintf("%s steady, then %s with one planned replacement a minute in each cell", steadyTime, replaceInterval)},
+			{Name: "load average at the start", Value: bench.LoadAverage()},
 			{Name: "backend servers", Value: fmt.Sprintf("%d per gateway", keyedServersPerHost+1)},
 		},
 		Notes: []string{
@@ -65,6 +66,7 @@
 		}
 		report.Charts = append(report.Charts, measureFleets(m, seed, allReports))
 	}
+	report.Settings = append(report.Settings, bench.Setting{Name: "load average at the end", Value: bench.LoadAverage()})
 	return report, nil
 }
 
--- a/internal/live/experiment.go
+++ b/internal/live/experiment.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"os"
-	"strings"
 
 	"github.com/sapphireplank/sapphireplank/internal/bench"
 )
@@ -42,7 +40,7 @@
 			report.Notes = append(report.Notes, s.name+": "+note)
 		}
 	}
-	report.Settings = append(report.Settings, bench.Setting{Name: "load average at the end", Value: loadAverage()})
+	report.Settings = append(report.Settings, bench.Setting{Name: "load average at the end", Value: bench.LoadAverage()})
 	return report, nil
 }
 
@@ -51,16 +49,6 @@
 		{Name: "deployment", Value: o.Deployment},
 		{Name: "duration of a run", Value: o.Duration.String()},
 		{Name: "scale of the load", Value: fmt.Sprint(o.Scale)},
-		{Name: "load average at the start", Value: loadAverage()},
+		{Name: "load average at the start", Value: bench.LoadAverage()},
 	}
 }
-
-// loadAverage returns the load averages of the machine over 1, 5 and 15 minutes, or "unknown".
-func loadAverage() string {
-	data, err := os.ReadFile("/proc/loadavg")
-	fields := strings.Fields(string(data))
-	if err != nil || len(fields) < 3 {
-		return "unknown"
-	}
-	return strings.Join(fields[:3], " ")
-}
--- a/internal/live/zonecut.go
+++ b/internal/live/zonecut.go
@@ -14,7 +14,7 @@
 		summary: "The gateways of one zone are cut from the other zones and from the store, and the cut heals.",
 		scenarios: func() []*scenario {
 			return []*scenario{
-				{name: "zone cut", faults: true, act: cutZone, evaluate: bySide},
+				{name: "zone cut", faults: true, act: cutZone, evaluate: func(r *run) { bySide(r); failuresOf(r) }},
 				{name: "without the cut", faults: true, calm: true, evaluate: bySide},
 			}
 		},
@@ -73,3 +73,25 @@
 		r.figure("requests without an answer "+side, "1", float64(failed))
 	}
 }
+
+// failuresOf says when the requests without an answer began, relative to the cut.
+func failuresOf(r *run) {
+	cut := r.start.Add(time.Duration(lossAt * float64(r.options.Duration)))
+	var last time.Duration
+	late := 0
+	for _, record := range r.deployment.Ledger.All() {
+		if record.Result == dev.ResultAnswered {
+			continue
+		}
+		began := record.Start.Sub(cut)
+		last = max(last, began)
+		if began > lateFailure {
+			late++
+		}
+	}
+	r.figure("last request without an answer began after the cut", "ms", millis(last))
+	r.figure("requests without an answer that began 500 ms after the cut or later", "1", float64(late))
+}
+
+// lateFailure is the time after a cut from which gateways can know of it: SuspectAfter of the cell, rounded up.
+const lateFailure = 500 * time.Millisecond
