--- a/internal/dev/unavailable.go
+++ b/internal/dev/unavailable.go
@@ -11,6 +11,8 @@
 	Worst time.Duration
 	// WorstKey is the key with the longest time.
 	WorstKey string
+	// WorstFrom is the begin of that time.
+	WorstFrom time.Time
 	// Total is the sum over keys.
 	Total time.Duration
 	// Keys is the number of keys with an unavailable time above zero.
@@ -39,36 +41,45 @@
 	}
 	var u Unavailable
 	for key, list := range answers {
-		longest, total := gaps(list, start, end)
-		u.add(key, longest, total)
+		u.add(key, gaps(list, start, end))
 	}
 	return u
 }
 
-func (u *Unavailable) add(key string, longest, total time.Duration) {
-	if total == 0 {
+func (u *Unavailable) add(key string, g keyGaps) {
+	if g.total == 0 {
 		return
 	}
 	u.Keys++
-	u.Total += total
-	if longest > u.Worst {
-		u.Worst, u.WorstKey = longest, key
+	u.Total += g.total
+	if g.longest > u.Worst {
+		u.Worst, u.WorstKey, u.WorstFrom = g.longest, key, g.from
 	}
 }
 
-// gaps returns the longest gap and the sum of all gaps between start, the answers and end.
-func gaps(answers []time.Time, start, end time.Time) (longest, total time.Duration) {
+// keyGaps are the gaps between the answers for one key.
+type keyGaps struct {
+	longest, total time.Duration
+	// from is the begin of the longest gap.
+	from time.Time
+}
+
+// gaps returns the gaps between start, the answers and end.
+func gaps(answers []time.Time, start, end time.Time) keyGaps {
 	slices.SortFunc(answers, time.Time.Compare)
+	var g keyGaps
 	last := start
 	for _, at := range append(answers, end) {
 		if at.After(end) {
 			at = end
 		}
 		if gap := at.Sub(last); gap > steadyGap {
-			total += gap
-			longest = max(longest, gap)
+			g.total += gap
+			if gap > g.longest {
+				g.longest, g.from = gap, last
+			}
 		}
 		last = at
 	}
-	return longest, total
+	return g
 }
--- a/internal/live/lost.go
+++ b/internal/live/lost.go
@@ -108,10 +108,13 @@
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
 	started := time.Now()
+	holder := r.snapshot(host).Self
+	homes := r.homesOf(host)
 	r.watcher.ignore(host)
 	if err := r.deployment.StopGateway(ctx, host); err != nil {
 		r.stopErr = errors.CombineErrors(r.stopErr, errors.Wrapf(err, "stop of %s", host))
 	}
-	r.note("stopped %s in %s", host, time.Since(started).Round(time.Millisecond))
+	r.note("stopped %s (holder %v, home of %d) after %s in %s", host, holder, homes,
+		started.Sub(r.start).Round(time.Millisecond), time.Since(started).Round(time.Millisecond))
 	return nil
 }
--- a/internal/live/measurement.go
+++ b/internal/live/measurement.go
@@ -96,6 +96,9 @@
 	for _, s := range r.deployment.Config.Services {
 		u := r.deployment.UnavailableOf(s.Name, r.start, r.end(), func(dev.Record) bool { return true })
 		r.unavailableFigures(s.Name, s.Keyed, u)
+		if u.Worst > 0 {
+			r.note("longest unavailable: %s for %s from %s on", u.WorstKey, u.Worst.Round(time.Millisecond), u.WorstFrom.Sub(r.start).Round(time.Millisecond))
+		}
 	}
 }
 
