--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -13,9 +13,9 @@
 
 // operators is the handler of the operators' port: health, readiness, metrics, profiles and the administration API.
 func (n *Node) operators() http.Handler {
-	s := &sources{node: n}
+	s := &sources{node: n, configurer: newConfigurer(n)}
 	api := admin.New(admin.Sources{
-		Config:  newConfigurer(n),
+		Config:  s.configurer,
 		Status:  s,
 		Owners:  s,
 		Stops:   s,
--- a/internal/node/sources.go
+++ b/internal/node/sources.go
@@ -14,7 +14,8 @@
 
 // sources answers the administration API from the state of one gateway.
 type sources struct {
-	node *Node
+	node       *Node
+	configurer *configurer
 }
 
 // view returns the current view if it belongs to the team.
--- a/internal/node/stopprogress.go
+++ b/internal/node/stopprogress.go
@@ -16,9 +16,18 @@
 	if err != nil {
 		return nil, err
 	}
-	list := make([]admin.StopProgress, 0, len(view.Config.Stops))
-	for _, stop := range view.Config.Stops {
-		list = append(list, s.progress(ctx, view, stop))
+	accepted, err := s.configurer.Current(ctx, team)
+	if err != nil {
+		return nil, err
+	}
+	list := make([]admin.StopProgress, 0, len(accepted.Stops))
+	for _, stop := range accepted.Stops {
+		if slices.Contains(view.Config.Stops, stop) {
+			list = append(list, s.progress(ctx, view, stop))
+			continue
+		}
+		list = append(list, admin.StopProgress{Target: stop.Target, At: stop.At, ForSeconds: stop.ForSeconds,
+			State: admin.StopAnnounced, Detail: "accepted, not in force here yet"})
 	}
 	return list, nil
 }
