assign: estimate noise over the partitions of the cell only

A service over several cells has partitions that belong to other cells. They counted as idle, so that no difference between the cell's own partitions passed for noise. SetPartitions names the cell's partitions; TestTrackerIgnoresOtherCells guards against it. Results with one cell are unchanged.

--- a/internal/assign/shrink.go
+++ b/internal/assign/shrink.go
@@ -38,14 +38,9 @@
 	return noiseCut * noiseCut * s.variance, s.variance > 0
 }
 
-// update recomputes the signal from the averages. Their weight cancels out.
-func (s *shrinkage) update(rates []float64) {
-	mean := meanOf(rates)
-	observed := 0.0
-	for _, rate := range rates {
-		observed += (rate - mean) * (rate - mean)
-	}
-	observed /= float64(len(rates))
+// update recomputes the signal from the variance between the averages of the partitions. The weight of the averages
+// cancels out.
+func (s *shrinkage) update(observed float64) {
 	if observed == 0 {
 		s.signal = 0
 		return
@@ -58,22 +53,14 @@
 	return math.Sqrt(s.signal * s.variance * s.squares)
 }
 
-func meanOf(values []float64) float64 {
-	sum := 0.0
-	for _, value := range values {
-		sum += value
-	}
-	return sum / float64(len(values))
-}
-
-// advancePartitions takes the pending work of all partitions into their averages.
+// advancePartitions takes the pending work of the cell's partitions into their averages.
 func (t *Tracker) advancePartitions(interval time.Duration) {
 	keep := keepOf(interval, t.smoothing.Partitions)
 	first := t.weight.weight == 0
 	limit, limited := t.shrink.limit()
 	deviations := 0.0
-	for id, work := range t.pending {
-		reading := work / interval.Seconds()
+	for _, id := range t.partitions {
+		reading := t.pending[id] / interval.Seconds()
 		if !first {
 			deviation := reading - t.rates[id]/t.weight.weight
 			squared := deviation * deviation
@@ -86,7 +73,20 @@
 	}
 	clear(t.pending)
 	t.weight.Add(interval.Seconds(), interval, t.smoothing.Partitions)
-	t.shrink.add(deviations/float64(len(t.rates)), keep, first)
-	t.shrink.update(t.rates)
-	t.mean = meanOf(t.rates)
+	t.shrink.add(deviations/float64(len(t.partitions)), keep, first)
+	t.compare()
+}
+
+// compare recomputes the mean of the partitions and how much of their differences is not noise.
+func (t *Tracker) compare() {
+	sum := 0.0
+	for _, id := range t.partitions {
+		sum += t.rates[id]
+	}
+	t.mean = sum / float64(len(t.partitions))
+	squares := 0.0
+	for _, id := range t.partitions {
+		squares += (t.rates[id] - t.mean) * (t.rates[id] - t.mean)
+	}
+	t.shrink.update(squares / float64(len(t.partitions)))
 }
--- a/internal/assign/size_test.go
+++ b/internal/assign/size_test.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -133,6 +134,32 @@
 	check("after the end of the override")
 }
 
+// Guards against partitions of other cells that count as idle ones of this cell: their number must not change the
+// loads of the cell's own partitions.
+func TestTrackerIgnoresOtherCells(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 3))
+	alone, among := NewTracker(16, DefaultSmoothing()), NewTracker(1024, DefaultSmoothing())
+	own := make([]keyspace.Partition, 16)
+	for i := range own {
+		own[i] = keyspace.Partition(i)
+	}
+	among.SetPartitions(own)
+	for range 50 {
+		for _, id := range own {
+			work := float64(random.IntN(20))
+			alone.AddPartition(id, work)
+			among.AddPartition(id, work)
+		}
+		alone.Advance(time.Second)
+		among.Advance(time.Second)
+	}
+	for _, id := range own {
+		if alone.Load(id) != among.Load(id) || alone.LoadError() != among.LoadError() {
+			t.Errorf("partition %d: load %v alone, %v among others", id, alone.Load(id), among.Load(id))
+		}
+	}
+}
+
 // Guards against a sketch that misses a heavy key among many light ones, names a light one or keeps a past one.
 func TestSketchFindsHeavyKeys(t *testing.T) {
 	sketch := NewSketch(64, time.Second)
--- a/internal/assign/tracker.go
+++ b/internal/assign/tracker.go
@@ -26,6 +26,8 @@
 // partition and its override when the override starts or ends. A Tracker is not safe for concurrent use.
 type Tracker struct {
 	smoothing Smoothing
+	// partitions are the partitions of the cell.
+	partitions []keyspace.Partition
 	// pending is the work of each partition since the last Advance.
 	pending []float64
 	// rates are the averages of the partitions, all of them with the same weight.
@@ -44,14 +46,29 @@
 	average EWMA
 }
 
-// NewTracker returns a tracker for a service with count partitions.
+// NewTracker returns a tracker for a service with count partitions, all of them in the cell.
 func NewTracker(count int, smoothing Smoothing) *Tracker {
-	return &Tracker{
+	t := &Tracker{
 		smoothing: smoothing,
 		pending:   make([]float64, count),
 		rates:     make([]float64, count),
 		keys:      make(map[string]*trackedKey),
 	}
+	for id := range count {
+		t.partitions = append(t.partitions, keyspace.Partition(id))
+	}
+	return t
+}
+
+// SetPartitions names the partitions of the cell. Loads of others are forgotten, because they would pass for
+// differences between the partitions of the cell.
+func (t *Tracker) SetPartitions(partitions []keyspace.Partition) {
+	rates := make([]float64, len(t.rates))
+	for _, id := range partitions {
+		rates[id] = t.rates[id]
+	}
+	t.rates = rates
+	t.partitions = slices.Clone(partitions)
 }
 
 // AddPartition adds work of the keys of a partition that have no override.
@@ -73,7 +90,7 @@
 
 // Advance takes the work since the last call into the averages.
 func (t *Tracker) Advance(interval time.Duration) {
-	if interval <= 0 {
+	if interval <= 0 || len(t.partitions) == 0 {
 		return
 	}
 	t.advancePartitions(interval)
