--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -88,7 +88,7 @@
 
 // ControlCost is the cost of deciding, measured on the machine of the run.
 type ControlCost struct {
-	// RoundMillis is the mean processor time of one round.
+	// RoundMillis is the mean time of one round.
 	RoundMillis float64
 	// Rounds is the number of rounds.
 	Rounds int
--- a/internal/bench/systems.go
+++ b/internal/bench/systems.go
@@ -65,6 +65,6 @@
 			plannedGapMillis, lostGapMillis),
 		"Latency is modelled: first free slot in order of arrival, exponential execution, requests that would wait " +
 			"longer than 1 s refused.",
-		"Processor time of a round is measured, with four systems running at the same time.",
+		"The time of a round is elapsed time, with four systems running at the same time.",
 	}
 }
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -53,7 +53,7 @@
 		r.row("refused requests", "%", func(m *Measurement) string {
 			return latencyValue(m, func(l *Latency) float64 { return 100 * l.Refused })
 		}),
-		r.row("processor time of a round", "ms", roundTime),
+		r.row("time of a round", "ms", roundTime),
 	}
 	return append(dropUnmeasured(rows), r.figureRows()...)
 }
--- a/internal/bench/target.go
+++ b/internal/bench/target.go
@@ -43,7 +43,8 @@
 					{"requests per second", format(math.Round(targetRate))},
 					{"model time", format(targetSeconds) + " s"},
 				},
-				Notes: append(modelNotes()[:3:3], "Requests are drawn for each partition from a normal distribution with the variance of a Poisson one."),
+				Notes: append(modelNotes()[:3:3], "Requests are drawn for each partition from a normal distribution with the variance of a Poisson one. The time of a "+
+					"round is processor time."),
 			}
 			for _, preference := range []config.Preference{config.PreferBalance, config.PreferAvailability} {
 				report.Measurements = append(report.Measurements, newTargetRun(seed, preference, event).run())
