home: move requests along when a key gets its own scope

Change: waiting and running requests move between the scopes of a key and of its partition; the end of abandoned ones counts for both.

--- a/internal/home/apply.go
+++ b/internal/home/apply.go
@@ -49,6 +49,9 @@
 		if !d.insert(state) {
 			return
 		}
+		if state.scope.HotKey != "" {
+			d.split(state)
+		}
 		d.setDirty = true
 	}
 	state.mark = d.mark
@@ -76,6 +79,9 @@
 func (d *Dispatcher) disown(state *scopeState) {
 	state.gone = true
 	d.remove(state)
+	if state.scope.HotKey != "" {
+		d.unsplit(state)
+	}
 	for _, t := range waitingInOrder(state) {
 		d.refuseTicket(t, notHome())
 	}
--- a/internal/home/dispatcher.go
+++ b/internal/home/dispatcher.go
@@ -50,6 +50,8 @@
 	setDirty     bool
 	// judged is the judgement that was recorded last.
 	judged Health
+	// running holds the requests at the backend server.
+	running map[*ticket]struct{}
 	// pacing is true while a timer waits for the queue's ReadyAt.
 	pacing  bool
 	leaving bool
@@ -69,6 +71,7 @@
 		stop:       make(chan struct{}),
 		stopped:    make(chan struct{}),
 		hotKeys:    make(map[string]*scopeState),
+		running:    make(map[*ticket]struct{}),
 		health:     newHealthState(),
 		judged:     HealthUp,
 		identities: newIdentityRecord(config.Identities, now),
--- a/internal/home/finish.go
+++ b/internal/home/finish.go
@@ -110,6 +110,7 @@
 // endExecution counts a request out of its scope.
 func (d *Dispatcher) endExecution(t *ticket) {
 	t.scope.inProgress--
+	delete(d.running, t)
 	if t.scope.releasing && t.scope.inProgress == 0 {
 		d.wakeControl()
 	}
--- a/internal/home/pump.go
+++ b/internal/home/pump.go
@@ -71,6 +71,7 @@
 	t.state = ticketStarted
 	t.started = now
 	t.scope.inProgress++
+	d.running[t] = struct{}{}
 	t.scope.requests++
 	t.sent = *t.req
 	t.sent.Deadline = d.requestDeadline(t.req.Deadline, now)
