--- a/internal/home/dispatcher.go
+++ b/internal/home/dispatcher.go
@@ -49,7 +49,11 @@
 	set          backend.GrantSet
 	setDirty     bool
 	// judged is the judgement that was recorded last.
-	judged  Health
+	judged Health
+	// running holds the requests at the backend server.
+	running map[*ticket]struct{}
+	// pacing is true while a timer waits for the queue's ReadyAt.
+	pacing  bool
 	leaving bool
 	closed  bool
 }
@@ -67,6 +71,7 @@
 		stop:       make(chan struct{}),
 		stopped:    make(chan struct{}),
 		hotKeys:    make(map[string]*scopeState),
+		running:    make(map[*ticket]struct{}),
 		health:     newHealthState(),
 		judged:     HealthUp,
 		identities: newIdentityRecord(config.Identities, now),
@@ -77,6 +82,7 @@
 		Total:         config.QueueTotal,
 		Slots:         config.Slots,
 		Allowance:     queueAllowance,
+		DebtSpacing:   debtSpacing,
 	})
 	if config.Keyed {
 		d.partitions = make([]*scopeState, config.Partitions)
