home: give up the tokens of a server that was down

Change: with LatchOnDown, which gateways set, scopes stay unused until they have another token, and the report says down until then; cells recover only with the accepted configuration (ConfigKey, ConfigRevision).

--- a/internal/control/configstep.go
+++ b/internal/control/configstep.go
@@ -116,6 +116,15 @@
 	}
 }
 
+// revisionOf reads the revision of a configuration in its stored form.
+func revisionOf(value []byte) (uint64, error) {
+	c, err := config.DecodeNewer(value)
+	if err != nil {
+		return 0, err
+	}
+	return c.Revision, nil
+}
+
 func decodeDocument(data []byte) (confsync.Document, error) {
 	c, err := config.DecodeNewer(data)
 	if err != nil {
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -47,11 +47,13 @@
 		assign:  NewAssigner(),
 	}
 	l.cell = cell.NewNode(cell.NodeConfig{
-		Host:        o.Host,
-		Incarnation: o.Incarnation,
-		WallStart:   o.Start.Round(0),
-		Random:      random,
-		Assign:      l.assign.Next,
+		Host:           o.Host,
+		Incarnation:    o.Incarnation,
+		WallStart:      o.Start.Round(0),
+		Random:         random,
+		Assign:         l.assign.Next,
+		ConfigKey:      ConfigKey(o.Team),
+		ConfigRevision: revisionOf,
 	})
 	l.confs = confsync.New(confsync.Options{Self: o.Host, Random: random.IntN, Rebase: rebase})
 	l.store = newStoreCaller(o.Store, l.call)
--- a/internal/home/apply.go
+++ b/internal/home/apply.go
@@ -56,6 +56,7 @@
 	}
 	state.mark = d.mark
 	if state.token != owned.Token {
+		state.latched = false
 		state.token = owned.Token
 		state.granted = !d.config.Fenced
 		d.setDirty = true
--- a/internal/home/config.go
+++ b/internal/home/config.go
@@ -67,6 +67,9 @@
 	Fenced bool
 	// MaxRequest is the longest execution of a request. Default DefaultMaxRequest.
 	MaxRequest time.Duration
+	// LatchOnDown keeps the scopes of a server that was judged down unused until they have another token. Set it
+	// where a holder grants them anew. Default: they are used again once the server is up.
+	LatchOnDown bool
 	// Lease returns the end of the home lease, with wall clock and monotonic reading. It must not block.
 	Lease func() time.Time
 	// OnReport is called from the dispatcher's goroutine with each report. It must not block. Default: none.
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -75,6 +75,9 @@
 		return
 	}
 	d.judged = d.health.judgement
+	if d.judged == HealthDown && d.config.LatchOnDown {
+		d.latch()
+	}
 	log.Infof("home: backend server %s of service %s is %s", d.config.Server, d.config.Service, d.judged)
 	d.config.Recorder.Record(timeline.Event{
 		Kind:    timeline.Kind("home/server-" + string(d.judged)),
@@ -83,6 +86,17 @@
 	})
 }
 
+// latch keeps the owned scopes from being used under their present tokens.
+func (d *Dispatcher) latch() {
+	d.scopes(func(state *scopeState) {
+		if state != d.whole {
+			state.latched = true
+			d.rehold(state, time.Now())
+		}
+	})
+	d.setDirty = true
+}
+
 // nextSet returns the set of grants, whether it changed, and whether the server is only to be probed: a
 // renewal that a lost server does not acknowledge would extend the wait for the end of its grants.
 func (d *Dispatcher) nextSet() (set backend.GrantSet, dirty, probe bool) {
--- a/internal/home/release.go
+++ b/internal/home/release.go
@@ -85,6 +85,10 @@
 		if state == d.whole {
 			return
 		}
+		if state.latched {
+			// The holder must learn that the server was down, also if it is up again.
+			report.Health = HealthDown
+		}
 		if state.released {
 			report.Released = append(report.Released, Released{Scope: state.scope, Token: state.token})
 		}
--- a/internal/home/scope.go
+++ b/internal/home/scope.go
@@ -15,6 +15,9 @@
 	released  bool
 	// gone is true once the assignment does not have the scope any more.
 	gone bool
+	// latched is true from the time at which the server was judged down until the scope has another token. The
+	// report of that time tells the holder when the last grant ends, so no later one may follow under the old token.
+	latched bool
 	// since is the begin of the record of request identities for the scope.
 	since time.Time
 	// inProgress counts the requests at the backend server.
@@ -55,8 +58,8 @@
 
 // wantsGrant reports whether the scope belongs to the set of grants.
 func (s *scopeState) wantsGrant(now time.Time) bool {
-	return !s.gone && (!s.releasing || !s.idle(now))
+	return !s.gone && !s.latched && (!s.releasing || !s.idle(now))
 }
 
 // held reports whether requests of the scope must wait.
-func (s *scopeState) held() bool { return s.releasing || !s.granted }
+func (s *scopeState) held() bool { return s.releasing || s.latched || !s.granted }
--- a/internal/node/homes.go
+++ b/internal/node/homes.go
@@ -150,16 +150,17 @@
 	entry := &homeEntry{server: server, client: client}
 	converter := &reportConverter{homes: h, server: server}
 	entry.dispatcher = home.Open(home.Config{
-		Service:    service.Name,
-		Server:     server.server.Name,
-		Slots:      service.Slots,
-		Keyed:      service.Keyed,
-		Partitions: service.Partitions,
-		Fenced:     service.Fenced,
-		MaxRequest: time.Duration(service.MaxRequestMillis) * time.Millisecond,
-		Lease:      h.lease,
-		OnReport:   converter.convert,
-		Recorder:   h.recorder,
+		Service:     service.Name,
+		Server:      server.server.Name,
+		Slots:       service.Slots,
+		Keyed:       service.Keyed,
+		Partitions:  service.Partitions,
+		Fenced:      service.Fenced,
+		MaxRequest:  time.Duration(service.MaxRequestMillis) * time.Millisecond,
+		Lease:       h.lease,
+		LatchOnDown: true,
+		OnReport:    converter.convert,
+		Recorder:    h.recorder,
 	}, client)
 	return entry
 }
