--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -60,26 +60,6 @@
 	generation, version uint64
 }
 
-type event struct {
-	at  time.Duration
-	seq uint64
-	run func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // testConfig has a cell c1 with the given number of hosts, and a cell c2 with foreign hosts. If c2 has two hosts, it also
 // has servers of service keyed.
 func testConfig(hosts, foreign int) *config.Config {
