control: give unreported partitions the rest of their server's load

Cause: homes report their 48 heaviest partitions; all others counted as idle. Change: the rest of a server's load counts in equal parts for them; the policy gets back the time since which it saw an imbalance.

--- a/internal/control/assigner.go
+++ b/internal/control/assigner.go
@@ -20,9 +20,10 @@
 
 // assignerState is what one service needs between two rounds.
 type assignerState struct {
-	overrides []assign.Override
-	states    map[string]cell.ServerState
-	coldSince map[string]time.Duration
+	overrides  []assign.Override
+	unbalanced time.Duration
+	states     map[string]cell.ServerState
+	coldSince  map[string]time.Duration
 }
 
 // NewAssigner returns an assigner without history.
@@ -46,9 +47,12 @@
 		HotKeys:        hotKeys(r),
 		OverrideLimit:  a.overrideLimit(),
 		Capacity:       a.slots(r.Service),
+		// The policy moves nothing for a deviation that passes by itself.
+		UnbalancedSince: state.unbalanced,
 	}
 	result := a.policy.Next(input)
 	state.overrides = result.Overrides
+	state.unbalanced = result.UnbalancedSince
 	return toCellResult(r, input, result)
 }
 
@@ -120,8 +124,11 @@
 	return overrides
 }
 
+// partitionLoads returns the loads of the cell's partitions. Homes report their heaviest partitions only; the rest of a
+// server's load counts in equal parts for the others.
 func partitionLoads(r cell.AssignRequest) []assign.PartitionLoad {
 	var loads []assign.PartitionLoad
+	rest := restPerPartition(r)
 	for p, previous := range r.Previous {
 		if !r.Placed[p] {
 			continue
@@ -133,11 +140,36 @@
 		if r.Load != nil {
 			load.Load = r.Load[p]
 		}
+		if load.Load == 0 && previous != cell.Unowned {
+			load.Load = rest[previous]
+		}
 		loads = append(loads, load)
 	}
 	return loads
 }
 
+// restPerPartition returns, for each server, its load beyond the reported partitions, divided by the others.
+func restPerPartition(r cell.AssignRequest) []float64 {
+	rest := make([]float64, len(r.Servers))
+	unreported := make([]int, len(r.Servers))
+	for i, server := range r.Servers {
+		rest[i] = server.Load
+	}
+	for p, previous := range r.Previous {
+		switch {
+		case previous == cell.Unowned || !r.Placed[p]:
+		case r.Load != nil && r.Load[p] > 0:
+			rest[previous] -= r.Load[p]
+		default:
+			unreported[previous]++
+		}
+	}
+	for i := range rest {
+		rest[i] = max(0, rest[i]) / float64(max(1, unreported[i]))
+	}
+	return rest
+}
+
 func hotKeys(r cell.AssignRequest) []assign.KeyLoad {
 	keys := make([]assign.KeyLoad, 0, len(r.Keys))
 	for _, key := range r.Keys {
--- /dev/null
+++ b/internal/control/assigner_test.go
@@ -0,0 +1,42 @@
+package control
+
+import (
+	"testing"
+
+	"github.com/sapphireplank/sapphireplank/internal/cell"
+	"github.com/sapphireplank/sapphireplank/internal/config"
+)
+
+// Guards against partitions that homes did not report and that then count as idle, which would pile them on one server.
+func TestUnreportedPartitionsShareTheRestOfTheLoad(t *testing.T) {
+	loads := partitionLoads(cell.AssignRequest{
+		Servers:  []cell.AssignServer{{Name: "a", State: cell.ServerUp, Load: 3}, {Name: "b", State: cell.ServerUp}},
+		Previous: []int{0, 0, 0, 1, cell.Unowned},
+		Placed:   []bool{true, true, true, true, true},
+		Load:     []float64{2, 0, 0, 0, 0},
+	})
+	want := []float64{2, 0.5, 0.5, 0, 0}
+	for i, load := range loads {
+		if load.Load != want[i] {
+			t.Errorf("partition %d has load %v, want %v", i, load.Load, want[i])
+		}
+	}
+}
+
+// Guards against an adapter that mixes up servers, or drops the owner of a partition that the policy keeps.
+func TestAssignerKeepsOwnersAndPlacesTheRest(t *testing.T) {
+	a := NewAssigner()
+	a.Configure(&config.Config{Services: []config.Service{{Name: "s", Keyed: true, Slots: 3}}})
+	r := cell.AssignRequest{
+		Service:  "s",
+		Servers:  []cell.AssignServer{{Name: "a", State: cell.ServerUp, Weight: 1}, {Name: "b", State: cell.ServerDown, Weight: 1}},
+		Previous: []int{0, 1, cell.Unowned, cell.Unowned},
+		Placed:   []bool{true, true, true, false},
+	}
+	result := a.Next(r)
+	for p, want := range []int{0, 0, 0, cell.Unowned} {
+		if result.Owners[p] != want {
+			t.Errorf("partition %d goes to %d, want %d", p, result.Owners[p], want)
+		}
+	}
+}
--- a/internal/home/health_test.go
+++ b/internal/home/health_test.go
@@ -104,3 +104,25 @@
 		})
 	}
 }
+
+// TestLatchedScopesNeedAnotherToken guards against a server that came back and is used under tokens whose last grant the
+// holder has already waited out.
+func TestLatchedScopesNeedAnotherToken(t *testing.T) {
+	config := fenced
+	config.LatchOnDown = true
+	onBench(t, config, standin.Options{}, func(b *bench) {
+		b.server.Freeze()
+		time.Sleep(time.Second)
+		b.server.Thaw()
+		time.Sleep(2 * time.Second)
+		if got := b.dispatcher.Report().Health; got != HealthDown {
+			b.Errorf("health %s before another token, want down", got)
+		}
+		b.own(9, false)
+		time.Sleep(500 * time.Millisecond)
+		b.want("under another token", b.do(b.Context(), b.request(func(*backend.Request) {})), "200")
+		if got := b.dispatcher.Report().Health; got != HealthUp {
+			b.Errorf("health %s under another token, want up", got)
+		}
+	})
+}
