--- a/internal/cell/localhome.go
+++ b/internal/cell/localhome.go
@@ -60,9 +60,9 @@
 	return l.sent[seq%sentHeartbeats], true
 }
 
-// take records a report and says whether the view of the local traffic changed.
-func (l *localHome) take(now time.Duration, r Report, t *table, self Member) bool {
-	changed := false
+// take records a report. It says whether the view of the local traffic changed, and whether the holder should learn of
+// the report before the next heartbeat. Homes repeat their reports, so only news are urgent.
+func (l *localHome) take(now time.Duration, r Report, t *table, self Member) (changed, urgent bool) {
 	for _, s := range r.Servers {
 		h, ok := l.health[s.Server]
 		if !ok {
@@ -70,6 +70,7 @@
 			l.health[s.Server] = h
 		}
 		changed = changed || h.up != s.Up
+		urgent = urgent || h.up != s.Up || h.draining != s.Draining
 		h.up = s.Up
 		h.draining = s.Draining
 		if !s.Up {
@@ -77,9 +78,12 @@
 		}
 	}
 	for _, u := range r.Released {
-		l.released[unit{service: u.Service, partition: u.Partition, key: u.Key}] = u.Token
+		id := unit{service: u.Service, partition: u.Partition, key: u.Key}
+		urgent = urgent || l.released[id] != u.Token
+		l.released[id] = u.Token
 	}
 	for _, s := range r.ReleasedServers {
+		urgent = urgent || l.releasedServers[s.Server] != s.Token
 		l.releasedServers[s.Server] = s.Token
 	}
 	for _, p := range r.Load {
@@ -92,7 +96,7 @@
 		l.serverLoad[s.Server] = s.Load
 	}
 	l.prune(t, self)
-	return changed
+	return changed, urgent
 }
 
 // prune forgets reports that the table has overtaken, and latches what is on servers that are down.
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -196,11 +196,10 @@
 
 // Report takes what the local homes observed.
 func (n *Node) Report(now time.Duration, r Report) Output {
-	if n.local.take(now, r, n.table, n.self) {
-		n.changed = true
-	}
+	changed, urgent := n.local.take(now, r, n.table, n.self)
+	n.changed = n.changed || changed
 	n.updateSnapshot()
-	n.contact.urgent = n.contact.urgent || r.urgent()
+	n.contact.urgent = n.contact.urgent || urgent
 	n.sendUrgent(now)
 	return n.finish(now)
 }
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -62,8 +62,3 @@
 	Server string
 	Load   float64
 }
-
-// urgent reports whether the holder should learn of the report before the next heartbeat.
-func (r Report) urgent() bool {
-	return len(r.Servers)+len(r.Released)+len(r.ReleasedServers) > 0
-}
--- a/internal/control/configstep.go
+++ b/internal/control/configstep.go
@@ -31,7 +31,7 @@
 }
 
 func (l *Loop) putInForce(document confsync.Document) {
-	c, err := config.DecodeNewer(document.Bytes)
+	c, err := l.decoded.of(document)
 	if err != nil {
 		l.options.Log.WithError(err).Error("Could not decode the configuration in force.")
 		return
@@ -44,7 +44,7 @@
 }
 
 func (l *Loop) hold(document confsync.Document) {
-	c, err := config.DecodeNewer(document.Bytes)
+	c, err := l.decoded.of(document)
 	if err != nil {
 		l.options.Log.WithError(err).Error("Could not decode a configuration.")
 		return
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -27,6 +27,7 @@
 	assign  *Assigner
 	held    *config.Config
 	inForce *config.Config
+	decoded decodedConfig
 	cells   []confsync.Cell
 	role    topologyRole
 }
--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -18,6 +18,11 @@
 	bufferedAnswerBytes = 256 << 10
 	// maxHops bounds the gateways after the first one that a request passes.
 	maxHops = 2
+	// hopReserve is the time that the home leaves for its answer to reach the sender: zones are up to 1.5 ms apart,
+	// regions farther.
+	hopReserve = 20 * time.Millisecond
+	// hopReserveShare bounds the reserve of short deadlines to a part of them.
+	hopReserveShare = 4
 	// holdInterval is the wait before a request without an owner or home is routed again.
 	holdInterval = 20 * time.Millisecond
 	// maxHold bounds the time that a request waits for an owner or home. Ownership is settled again within
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -97,7 +97,7 @@
 		return outcome.New(outcome.KindTimeout, http.StatusGatewayTimeout, outcome.Unknown,
 			"the deadline passed while the request was at another gateway; the outcome is unknown")
 	}
-	if p.Kind == outcome.KindConnectionLost {
+	if p.Kind == outcome.KindConnectionLost || p.Kind == outcome.KindNoConfig {
 		g.lostHost(c, t)
 	} else {
 		g.forgetHint(c)
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -21,6 +21,7 @@
 	if !ok {
 		return false
 	}
+	c.request.Deadline = hopDeadline(c.request.Deadline, time.Now())
 	ctx, cancel := context.WithDeadline(context.Background(), c.request.Deadline)
 	defer cancel()
 	watcher := watchCancel(stream, cancel)
@@ -33,6 +34,12 @@
 	return <-watcher
 }
 
+// hopDeadline is early enough for a refusal to reach the sender before its deadline, which would turn "not run" into an
+// unknown outcome.
+func hopDeadline(deadline, now time.Time) time.Time {
+	return deadline.Add(-min(hopReserve, deadline.Sub(now)/hopReserveShare))
+}
+
 // serveHop executes the request and sends the answer. It returns false if the answer is not complete.
 func (g *Gateway) serveHop(ctx context.Context, c *call, stream *peer.Stream) bool {
 	g.active.Add(1)
--- a/internal/peer/settings.go
+++ b/internal/peer/settings.go
@@ -15,9 +15,9 @@
 	redialBackoff = 250 * time.Millisecond
 	// writeTimeout closes a session whose peer no longer reads. Leases end after 600 ms, so that a longer
 	// wait is of no use to control messages.
-	writeTimeout = 2 * time.Second
-	// keepAliveInterval detects half-open connections that carry no traffic.
-	keepAliveInterval = 2 * time.Second
+	writeTimeout = time.Second
+	// keepAliveInterval detects half-open connections. Until a cut is detected, requests into it end as unknown.
+	keepAliveInterval = time.Second
 	// acceptBacklog bounds the streams that a peer has opened and this gateway has not accepted yet.
 	acceptBacklog = 4096
 	// maxIdleStreams bounds the streams of one session that wait for the next request.
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -55,6 +55,7 @@
 	outcome.KindNoOwner:        RouteAgain,
 	outcome.KindNoServer:       RouteAgain,
 	outcome.KindHopLimit:       RouteAgain,
+	outcome.KindNoConfig:       RouteAgain,
 	outcome.KindStaleGrant:     SendAgain,
 	outcome.KindShed:           SendAgain,
 	outcome.KindDraining:       SendAgain,
