home: log through the part's own log

Cause: the dispatcher logged to the global logger, past the levels of the gateway. Change: the gateway passes the log of the part.

--- a/internal/home/config.go
+++ b/internal/home/config.go
@@ -6,7 +6,10 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/sapphireplank/sapphireplank/internal/backend"
+	"github.com/sapphireplank/sapphireplank/internal/logging"
 	"github.com/sapphireplank/sapphireplank/internal/timeline"
 )
 
@@ -74,6 +77,8 @@
 	Lease func() time.Time
 	// OnReport is called from the dispatcher's goroutine with each report. It must not block. Default: none.
 	OnReport func(Report)
+	// Log is the log of the part. Default: none.
+	Log logrus.FieldLogger
 	// Recorder takes events. Default: none.
 	Recorder timeline.Recorder
 	// QueuePerSubscriber and QueueTotal bound the queue. Defaults 256 and 4096 requests.
@@ -97,6 +102,9 @@
 	if c.Identities == 0 {
 		c.Identities = defaultIdentities
 	}
+	if c.Log == nil {
+		c.Log = logging.Discard().Part("home")
+	}
 	if c.Recorder == nil {
 		c.Recorder = timeline.Discard{}
 	}
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	log "github.com/sirupsen/logrus"
-
 	"github.com/sapphireplank/sapphireplank/internal/backend"
 	"github.com/sapphireplank/sapphireplank/internal/timeline"
 )
@@ -78,7 +76,7 @@
 	if d.judged == HealthDown && d.config.LatchOnDown {
 		d.latch()
 	}
-	log.Infof("home: backend server %s of service %s is %s", d.config.Server, d.config.Service, d.judged)
+	d.config.Log.Infof("Backend server %s of service %s is %s.", d.config.Server, d.config.Service, d.judged)
 	d.config.Recorder.Record(timeline.Event{
 		Kind:    timeline.Kind("home/server-" + string(d.judged)),
 		Service: d.config.Service,
--- a/internal/node/homes.go
+++ b/internal/node/homes.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/sapphireplank/sapphireplank/internal/backend"
 	"github.com/sapphireplank/sapphireplank/internal/cell"
 	"github.com/sapphireplank/sapphireplank/internal/config"
@@ -34,6 +36,7 @@
 	reports  reporter
 	recorder timeline.Recorder
 	metrics  *metrics.Metrics
+	log      logrus.FieldLogger
 	leaseEnd atomic.Int64
 	byServer atomic.Pointer[map[string]*homeEntry]
 	closing  sync.WaitGroup
@@ -161,6 +164,7 @@
 		LatchOnDown: true,
 		OnReport:    converter.convert,
 		Recorder:    h.recorder,
+		Log:         h.log,
 	}, client)
 	return entry
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,6 +74,7 @@
 	n.options.Store = n.metrics.CountStore(o.Store)
 	n.pool = peer.NewPool(o.Dial)
 	n.homes = newHomes(n.start, o.Dial, o.Events, n.metrics)
+	n.homes.log = o.Logs.Part("home")
 	n.gateway = gateway.New(gateway.Options{
 		Self:     o.Host,
 		Homes:    n.homes,
