dev: report a promise for assignments and one for revisions

Cause: the run's table had no line for two invariants: an acknowledged assignment survives, and an accepted configuration never reverts. Change: owners and tokens before and after the losses are compared; the revisions of all gateways are followed.

--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -36,6 +36,7 @@
 	Ledger     *Ledger
 	Balancer   *Balancer
 	servers    *servers
+	revisions  *revisionWatch
 	closed     chan struct{}
 	options    Options
 	files      []io.Closer
@@ -64,6 +65,7 @@
 		Balancer:   new(Balancer),
 		nodes:      make(map[string]*node.Node),
 		closed:     make(chan struct{}),
+		revisions:  newRevisionWatch(),
 		options:    o,
 		links:      make(map[string]*store.Link),
 	}
@@ -165,6 +167,7 @@
 		if addresses := d.readyAddresses(); len(addresses) > 0 {
 			d.Balancer.Set(addresses)
 		}
+		d.observeRevisions()
 		select {
 		case <-d.closed:
 			return
@@ -255,11 +258,14 @@
 // AnnounceStop announces a planned stop that begins now.
 func (d *Deployment) AnnounceStop(ctx context.Context, target string, length time.Duration) error {
 	accepter := &accept.Accepter{Store: d.Store}
-	_, err := accepter.Announce(ctx, d.Config.Team, accept.Announcement{
+	accepted, err := accepter.Announce(ctx, d.Config.Team, accept.Announcement{
 		ID:       "stop-" + target,
 		Operator: "plank-dev",
 		Stop:     config.Stop{Target: target, At: time.Now(), ForSeconds: int64(length.Seconds())},
 	})
+	if err == nil {
+		d.revisions.accept(accepted.Revision, time.Now())
+	}
 	return err
 }
 
--- a/internal/dev/promises_test.go
+++ b/internal/dev/promises_test.go
@@ -79,3 +79,37 @@
 		t.Errorf("unavailable %v, sum %v in %d keys, want %v in 1", u.Worst, u.Total, u.Keys, want)
 	}
 }
+
+// Guards against a run in which a gateway goes back to an earlier revision, or never gets the accepted one, unnoticed.
+func TestRevisionWatchFindsSeededViolations(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		run  func(w *revisionWatch)
+		want int
+	}{
+		{"clean", func(w *revisionWatch) { w.observe("h", 1, at(0)); w.accept(2, at(1)); w.observe("h", 2, at(7000)) }, 0},
+		{"reverts", func(w *revisionWatch) { w.observe("h", 2, at(0)); w.observe("h", 1, at(1)) }, 1},
+		{"late", func(w *revisionWatch) { w.accept(2, at(0)); w.observe("h", 1, at(7001)) }, 1},
+	} {
+		w := newRevisionWatch()
+		tc.run(w)
+		if got := w.result().Violations; got != tc.want {
+			t.Errorf("%s: %d violations, want %d", tc.name, got, tc.want)
+		}
+	}
+}
+
+// Guards against a lost or outdated assignment that a run does not notice.
+func TestCheckSurvivalFindsSeededViolations(t *testing.T) {
+	state := func(owner string, seq uint64) *ownership {
+		return &ownership{owners: map[string][]string{"s": {owner}}, tokens: map[string][]fence.Token{"s": {{Seq: seq}}}}
+	}
+	for _, tc := range []struct {
+		after *ownership
+		want  int
+	}{{state("x", 5), 0}, {state("y", 6), 0}, {state("", 6), 1}, {state("x", 4), 1}} {
+		if got := checkSurvival(failures{before: state("x", 5), after: tc.after}).Violations; got != tc.want {
+			t.Errorf("%d violations after %v, want %d", got, tc.after, tc.want)
+		}
+	}
+}
--- a/internal/dev/report.go
+++ b/internal/dev/report.go
@@ -57,7 +57,8 @@
 	}
 	r.churn()
 	r.Unavailable = unavailableTime(availabilityRecords(records, d.keyedServices()), d.keyedServices(), start, start.Add(duration))
-	r.Promises = append(d.promises(records, executions), checkLeaving(executions, f.Leaves, leaveBound), checkCalm(records, f))
+	r.Promises = append(d.promises(records, executions), checkLeaving(executions, f.Leaves, leaveBound),
+		checkCalm(records, f), checkSurvival(f), d.revisions.result())
 	return r
 }
 
--- a/internal/dev/scenario.go
+++ b/internal/dev/scenario.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/sapphireplank/sapphireplank/internal/cell"
+	"github.com/sapphireplank/sapphireplank/internal/fence"
 )
 
 const (
@@ -92,10 +94,11 @@
 // ownership is the owner of each partition of each keyed service, over all cells.
 type ownership struct {
 	owners map[string][]string
+	tokens map[string][]fence.Token
 }
 
 func (d *Deployment) ownership() *ownership {
-	o := &ownership{owners: make(map[string][]string)}
+	o := &ownership{owners: make(map[string][]string), tokens: make(map[string][]fence.Token)}
 	for _, name := range d.Config.Cells() {
 		if snapshot := d.snapshotOf(name); snapshot != nil {
 			o.add(snapshot)
@@ -119,15 +122,35 @@
 	for name, service := range s.Services {
 		if o.owners[name] == nil {
 			o.owners[name] = make([]string, len(service.Owners))
+			o.tokens[name] = make([]fence.Token, len(service.Owners))
 		}
 		for p, owner := range service.Owners {
 			if owner.Server != "" {
 				o.owners[name][p] = owner.Server
+				o.tokens[name][p] = owner.Token
 			}
 		}
 	}
 }
 
+// checkSurvival verifies that every partition still has an owner, and that no assignment went back to an earlier one.
+func checkSurvival(f failures) Promise {
+	p := Promise{Name: "an acknowledged assignment survives the losses"}
+	if f.before == nil || f.after == nil {
+		return p
+	}
+	for name, tokens := range f.before.tokens {
+		for i, token := range tokens {
+			p.Checked++
+			if f.after.owners[name][i] == "" || f.after.tokens[name][i].Less(token) {
+				p.violate(name + " partition " + strconv.Itoa(i) + " had token " + token.String() + " and now " +
+					f.after.tokens[name][i].String())
+			}
+		}
+	}
+	return p
+}
+
 // moved counts the partitions that changed their owner, and those whose old owner is the lost server.
 func (o *ownership) moved(later *ownership, lost string) (moved, least int) {
 	for name, owners := range o.owners {
