gateway: keep the outcome unknown when a service is removed

Cause: a call whose first attempt may have run was refused as not run if its service left the configuration before the second attempt. Change: that refusal also keeps the earlier outcome; attempts that may have run are counted in one place. Before: the new test fails (not-run). After: it passes.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -195,6 +195,24 @@
 	}
 }
 
+// Guards against the answer "not run" for a request that may have run before its service left the configuration.
+func TestRemovedServiceKeepsTheOutcomeUnknown(t *testing.T) {
+	var p *pair
+	p = newPair(t, fakeHomes{"k1": func(context.Context, *backend.Request) (*backend.Response, error) {
+		c := *p.entry.View().Config
+		c.Services = nil
+		p.entry.SetView(NewView("entry", &c, testSnapshot("k1")))
+		return nil, outcome.New(outcome.KindConnectionLost, http.StatusBadGateway, outcome.Unknown, "lost")
+	}})
+	r, err := http.DefaultClient.Do(p.request(t, http.MethodGet, "/v1/keyed/a", map[string]string{HeaderKey: "k"}, ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if document := problemOf(t, r); document["outcome"] != "unknown" {
+		t.Errorf("document %v, want the outcome unknown", document)
+	}
+}
+
 // Guards against refusing a request while its key is between two owners.
 func TestRequestWaitsForAnOwner(t *testing.T) {
 	p := newPair(t, fakeHomes{"k1": echo})
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -19,8 +19,9 @@
 		v := g.view.Load()
 		c.route = v.services[c.request.Service]
 		if c.route == nil {
-			return nil, outcome.New(outcome.KindNoSuchService, http.StatusNotFound, outcome.NotRun,
+			removed := outcome.New(outcome.KindNoSuchService, http.StatusNotFound, outcome.NotRun,
 				"the service was removed from the configuration")
+			return nil, finalProblem(removed, mayHaveRun)
 		}
 		answer, problem := g.attempt(ctx, v, c)
 		if problem == nil {
@@ -86,13 +87,15 @@
 
 // mayRepeat reports whether the call may be sent again after the problem.
 func (g *Gateway) mayRepeat(ctx context.Context, c *call, p *outcome.Problem) bool {
-	c.attempts++
+	if p.Outcome != outcome.NotRun {
+		c.attempts++
+	}
 	deadline, _ := ctx.Deadline()
 	decision := retry.Decide(retry.Failure{
 		Problem:    p,
 		Idempotent: c.request.Idempotent,
 		Rewindable: true,
-		Attempts:   c.sent(p),
+		Attempts:   c.attempts,
 		Remaining:  time.Until(deadline),
 	})
 	switch decision {
@@ -104,11 +107,3 @@
 		return false
 	}
 }
-
-// sent counts the attempts that reached a home. A call that waits for an owner or a home was not sent.
-func (c *call) sent(p *outcome.Problem) int {
-	if p.Outcome == outcome.NotRun {
-		c.attempts--
-	}
-	return c.attempts
-}
--- a/internal/gateway/parse.go
+++ b/internal/gateway/parse.go
@@ -29,7 +29,7 @@
 	picked string
 	// avoid holds backend servers that failed this call before.
 	avoid []string
-	// attempts counts how often the call was sent.
+	// attempts counts the attempts that may have run. One that waits for an owner or a home does not count.
 	attempts int
 }
 
