--- a/internal/confsync/confsim/doc.go
+++ b/internal/confsync/confsim/doc.go
@@ -1,4 +1,5 @@
-// Package confsim runs many confsync gateways in a simulated network on simulated time. Tests and experiments use it.
+// Package confsim connects many confsync state machines by a fake network on fake time, for property tests and
+// measurements of the relay alone. It models no gateway, cell or backend server.
 // A run depends on its options and seed only.
 package confsim
 
