storetest: advance by whole lags until a watch has seen the write

Cause: a watch that read the clock before it was advanced by the lag and set its timer afterwards needed another lag, which the test walked in steps of 1 ns: one of four runs of all tests hung for more than 64 s. Change: the test advances by the lag; the check that the watch does not return early is unchanged. Before: stack of the hung run shows the loop. Conclusion: fixed.

--- a/internal/store/storetest/watches.go
+++ b/internal/store/storetest/watches.go
@@ -65,9 +65,10 @@
 	if len(result) > 0 {
 		t.Fatal("watch returned before its lag")
 	}
-	// The watch may still be on its way to its timer; the clock goes on until it has seen the write.
+	// The watch may have read the clock before it was advanced and set its timer after that, so that it needs up to
+	// another lag. Steps of 1 ns would then take minutes.
 	for len(result) == 0 {
-		f.Clock.Advance(1)
+		f.Clock.Advance(lag)
 		runtime.Gosched()
 	}
 	if got := <-result; got.err != nil || string(got.entry.Value) != "1" {
