--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -19,11 +19,7 @@
 	if err := noRest(args); err != nil {
 		return err
 	}
-	text, err := readFile(string(c.Args.File))
-	if err != nil {
-		return err
-	}
-	result, err := questionnaire.FromText(text)
+	result, err := readQuestionnaire(string(c.Args.File))
 	if err != nil {
 		return err
 	}
@@ -40,3 +36,12 @@
 		len(result.Config.Zones), len(result.Config.Hosts), len(result.Config.Services), servers)
 	return nil
 }
+
+// readQuestionnaire reads a questionnaire and generates its configuration.
+func readQuestionnaire(name string) (*questionnaire.Result, error) {
+	text, err := readFile(name)
+	if err != nil {
+		return nil, err
+	}
+	return questionnaire.FromText(text)
+}
--- a/internal/ctl/generate.go
+++ b/internal/ctl/generate.go
@@ -23,11 +23,7 @@
 	if err := noRest(args); err != nil {
 		return err
 	}
-	text, err := readFile(string(c.Args.File))
-	if err != nil {
-		return err
-	}
-	result, err := questionnaire.FromText(text)
+	result, err := readQuestionnaire(string(c.Args.File))
 	if err != nil {
 		return err
 	}
