home, control, peer: keep shared constants and steps in one place

Cause: reading the whole change again: the home had its own copies of the lease, skew and execution constants that the cell's waits rely on, the key of the configuration in the store stood twice, and two functions opened a stream in the same steps. Change: the home takes the constants from the cell, all parts call config.StoreKey, and one function opens streams. Values, behaviour and checks are unchanged.

--- a/internal/control/configstep.go
+++ b/internal/control/configstep.go
@@ -92,7 +92,7 @@
 }
 
 func (l *Loop) callStore(ctx context.Context, r confsync.StoreRequest) (store.Entry, error) {
-	key := ConfigKey(l.options.Team)
+	key := config.StoreKey(l.options.Team)
 	switch r.Kind {
 	case confsync.StoreWatch:
 		return l.options.Store.Watch(ctx, key, r.Version)
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -53,7 +53,7 @@
 		WallStart:      o.Start.Round(0),
 		Random:         random,
 		Assign:         l.assign.Next,
-		ConfigKey:      ConfigKey(o.Team),
+		ConfigKey:      config.StoreKey(o.Team),
 		ConfigRevision: revisionOf,
 	})
 	l.confs = confsync.New(confsync.Options{Self: o.Host, Random: random.IntN, Rebase: rebase})
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -49,6 +49,3 @@
 	Publisher Publisher
 	Log       *logrus.Entry
 }
-
-// ConfigKey returns the key of a team's configuration in the store.
-func ConfigKey(team string) string { return "teams/" + team + "/config" }
--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -14,7 +14,6 @@
 
 	"github.com/sapphireplank/sapphireplank/internal/accept"
 	"github.com/sapphireplank/sapphireplank/internal/config"
-	"github.com/sapphireplank/sapphireplank/internal/control"
 	"github.com/sapphireplank/sapphireplank/internal/logging"
 	"github.com/sapphireplank/sapphireplank/internal/node"
 	"github.com/sapphireplank/sapphireplank/internal/store"
@@ -95,7 +94,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = d.Store.CompareAndSwap(context.Background(), control.ConfigKey(d.Config.Team), 0, data)
+	_, err = d.Store.CompareAndSwap(context.Background(), config.StoreKey(d.Config.Team), 0, data)
 	return err
 }
 
--- a/internal/home/config.go
+++ b/internal/home/config.go
@@ -9,23 +9,25 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sapphireplank/sapphireplank/internal/backend"
+	"github.com/sapphireplank/sapphireplank/internal/cell"
 	"github.com/sapphireplank/sapphireplank/internal/logging"
 	"github.com/sapphireplank/sapphireplank/internal/timeline"
 )
 
-// Constants of the design.
+// Constants of the design. Those of the cell must be the same on both sides: the holder waits as long as the home may
+// have caused work.
 const (
 	// HomeLease is the length of a home lease.
-	HomeLease = 600 * time.Millisecond
+	HomeLease = cell.HomeLease
 	// MaxClockSkew is the largest difference between two wall clocks.
-	MaxClockSkew = 50 * time.Millisecond
+	MaxClockSkew = cell.MaxClockSkew
 	// RenewInterval separates two renewals of the grants.
 	RenewInterval = 150 * time.Millisecond
 	// ProbeInterval separates two probes of a server without grants.
 	ProbeInterval = 200 * time.Millisecond
 	// DefaultMaxRequest is the longest execution of a request. A longer one extends the wait before
 	// partitions move.
-	DefaultMaxRequest = 400 * time.Millisecond
+	DefaultMaxRequest = cell.IncludedExecution
 	// IdentityWindow is the time for which request identities are remembered.
 	IdentityWindow = 10 * time.Minute
 )
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -15,7 +15,6 @@
 
 	"github.com/sapphireplank/sapphireplank/internal/accept"
 	"github.com/sapphireplank/sapphireplank/internal/config"
-	"github.com/sapphireplank/sapphireplank/internal/control"
 	"github.com/sapphireplank/sapphireplank/internal/gateway"
 	"github.com/sapphireplank/sapphireplank/internal/keyspace"
 	"github.com/sapphireplank/sapphireplank/internal/logging"
@@ -367,7 +366,7 @@
 	c.start(fresh)
 	c.until("a fresh gateway has the revision from its peers", func() bool { return c.allInForce(accepted.Revision) })
 	c.store.SetDown(false)
-	if err := c.store.Restore(control.ConfigKey("team"), 1); err != nil {
+	if err := c.store.Restore(config.StoreKey("team"), 1); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(20 * time.Second)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -56,10 +56,9 @@
 	if c := l.takeIdle(session); c != nil {
 		return c, nil
 	}
-	stream, err := session.OpenStream()
+	stream, err := l.openOn(session)
 	if err != nil {
-		l.forget(session)
-		return nil, errors.Mark(errors.Wrapf(err, "open stream to %s", l.address), ErrConnect)
+		return nil, err
 	}
 	return &Conn{Stream: stream, Reader: bufio.NewReaderSize(stream, readBufferBytes), link: l, session: session}, nil
 }
@@ -93,6 +92,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return l.openOn(session)
+}
+
+// openOn opens a stream of a session, and forgets a session that does not open one.
+func (l *link) openOn(session *yamux.Session) (*yamux.Stream, error) {
 	stream, err := session.OpenStream()
 	if err != nil {
 		l.forget(session)
