controller, relay: let the elected gateway pass on what the store reports

Connections to servers were not used again, because the look at an idle socket ended at the deadline of the last request.

Change: followers connect to the elected gateway, get every change from it, and watch the store only while it is silent or out of contact. They report requests per key and per server; it returns the sums. Planned capacity is slots over the measured run time.

--- a/internal/controller/assign.go
+++ b/internal/controller/assign.go
@@ -9,8 +9,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/kv"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
+	"github.com/sapphireplank/sapphireplank/internal/relay"
 )
 
 const (
@@ -22,6 +24,10 @@
 	rowsPerServer = 5
 	// coldCapacity is the share of its capacity that a server has which has just started.
 	coldCapacity = 0.5
+	// unknownRunTime is assumed for all servers alike until there are measurements.
+	unknownRunTime = 100 * time.Millisecond
+	// fewMeasurements is the number of measurements below which a server is taken as average.
+	fewMeasurements = 5
 )
 
 // assignment is the assigner of one service with what the controller has under way for it.
@@ -115,7 +121,7 @@
 	meter := c.meter(service)
 	meter.Advance(c.Clock())
 	table, _ := a.assigner.Table(now)
-	moves := a.planner.Plan(table.Rows, candidates, scaledLoad{meter, float64(c.gatewayCount())}, now)
+	moves := a.planner.Plan(table.Rows, candidates, meter, now)
 	moved := a.assigner.Apply(moves, now)
 	a.assigner.Refresh(rowsPerServer * len(candidates))
 	if moved > 0 {
@@ -125,23 +131,15 @@
 	}
 }
 
-// scaledLoad is the load of all gateways, estimated from that of this one.
-type scaledLoad struct {
-	meter  *ownership.RateMeter
-	factor float64
-}
-
-// Rate implements ownership.Load.
-func (l scaledLoad) Rate(key int) float64 { return l.factor * l.meter.Rate(key) }
-
 // candidates returns the backend servers of a service that may own keys, sorted by ID.
 func (c *Controller) candidates(service string) []ownership.Candidate {
 	var candidates []ownership.Candidate
+	works := c.hub.Works()
 	for _, known := range c.directory.Servers() {
 		if known.Service != service || known.Draining {
 			continue
 		}
-		capacity := float64(known.Slots)
+		capacity := float64(known.Slots) / c.runTime(works, known).Seconds()
 		if c.Clock() < known.ColdUntil {
 			capacity *= coldCapacity
 		}
@@ -151,6 +149,25 @@
 	return candidates
 }
 
+// runTime returns how long requests run at a backend server. A server without measurements is taken as average.
+func (c *Controller) runTime(works map[uint32]relay.Work, known directory.Known) time.Duration {
+	work := works[relay.ServerHash(known.Incarnation())]
+	if work.Measurements >= fewMeasurements && work.Mean > 0 {
+		return work.Mean
+	}
+	total, count := time.Duration(0), time.Duration(0)
+	for _, other := range c.directory.Servers() {
+		if work := works[relay.ServerHash(other.Incarnation())]; other.Service == known.Service && work.Mean > 0 {
+			total += work.Mean
+			count++
+		}
+	}
+	if count == 0 {
+		return unknownRunTime
+	}
+	return total / count
+}
+
 func holders(candidates []ownership.Candidate) []ownership.Holder {
 	list := make([]ownership.Holder, 0, len(candidates))
 	for _, candidate := range candidates {
--- /dev/null
+++ b/internal/controller/beats.go
@@ -0,0 +1,140 @@
+package controller
+
+import (
+	"maps"
+	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/boottime"
+	"github.com/sapphireplank/sapphireplank/internal/election"
+	"github.com/sapphireplank/sapphireplank/internal/kv"
+	"github.com/sapphireplank/sapphireplank/internal/relay"
+	"github.com/sapphireplank/sapphireplank/internal/wire"
+)
+
+const (
+	// beatEvery is the time between two heartbeats to the other gateways.
+	beatEvery = 200 * time.Millisecond
+	// loadEvery is the time between two sums of the requests at backend servers.
+	loadEvery = 50 * time.Millisecond
+	// fleetOfLoadEvery is the number of gateways up to which loadEvery holds. It grows with more of them, so that
+	// the elected gateway does not send more messages.
+	fleetOfLoadEvery = 16
+	// freshFor is how long a contact with the store lets the others rely on this gateway.
+	freshFor = 900 * time.Millisecond
+	// spreadWorksEvery is the time between two messages with run times.
+	spreadWorksEvery = time.Second
+)
+
+// beats is what the elected gateway sends to the others from time to time.
+type beats struct {
+	nextBeat  time.Duration
+	nextLoad  time.Duration
+	nextWorks time.Duration
+	loads     map[uint32]int
+	// contact is when the store last answered.
+	contact time.Duration
+}
+
+// beat sends what is due to the other gateways.
+func (c *Controller) beat() {
+	now := c.Clock()
+	c.takeOwnReports()
+	if now >= c.beats.nextLoad {
+		c.spreadLoads(now)
+	}
+	if now < c.beats.nextBeat {
+		return
+	}
+	c.beats.nextBeat = now + beatEvery
+	if c.gateways.note(c.hub.Gateways(), now) {
+		c.dirty = true
+	}
+	down := &wire.RelayDown{
+		Fresh:    now-c.beats.contact < freshFor,
+		AsOf:     int64(c.asOf),
+		Gateways: uint32(c.gateways.value(now)),
+	}
+	if now >= c.beats.nextWorks {
+		c.beats.nextWorks = now + spreadWorksEvery
+		works := c.hub.Works()
+		c.Traffic.SetWorks(works)
+		down.Works = relay.EncodeWorks(works)
+	}
+	c.server.Broadcast(down)
+}
+
+// spreadLoads sends the requests of all gateways at each backend server, if they have changed.
+func (c *Controller) spreadLoads(now time.Duration) {
+	scale := max(1, c.hub.Gateways()/fleetOfLoadEvery)
+	c.beats.nextLoad = now + time.Duration(scale)*loadEvery
+	loads := c.hub.Loads()
+	c.Traffic.SetLoads(loads)
+	if maps.Equal(loads, c.beats.loads) {
+		return
+	}
+	c.beats.loads = loads
+	c.server.Broadcast(&wire.RelayDown{HasLoad: true, Load: relay.EncodeLoads(loads)})
+}
+
+// takeOwnReports counts this gateway like the others.
+func (c *Controller) takeOwnReports() {
+	up := &wire.RelayUp{HasLoad: true, Load: relay.EncodeLoads(c.Traffic.Loads()), Works: relay.EncodeWorks(c.Traffic.Works())}
+	up.Keys, up.Refused = c.reports.take()
+	c.hub.Report(c.Host, up)
+	c.takeReport(up)
+}
+
+// takeReport counts the requests for keys and the refusals of a report.
+func (c *Controller) takeReport(up *wire.RelayUp) {
+	for _, counts := range up.Keys {
+		meter := c.meter(counts.Service)
+		for i, key := range counts.Keys {
+			if i < len(counts.Counts) {
+				meter.Add(int(key), int(counts.Counts[i]))
+			}
+		}
+	}
+	for _, refused := range up.Refused {
+		if a := c.assigners[refused.Service]; a != nil && a.assigner != nil {
+			a.assigner.Refused(int(refused.Key), refused.Owner, boottime.Now())
+		}
+	}
+}
+
+// Joined implements relay.Receiver.
+func (c *Controller) Joined(session *relay.Session) {
+	c.do(func() {
+		if c.election.State() != election.StateLeading {
+			session.Close()
+			return
+		}
+		down := &wire.RelayDown{Full: true, AsOf: int64(c.asOf)}
+		for _, item := range c.items {
+			down.Items = append(down.Items, relay.EncodeEvent(kv.Event{Item: item}))
+		}
+		session.Send(down)
+	})
+}
+
+// Reported implements relay.Receiver.
+func (c *Controller) Reported(host string, up *wire.RelayUp) {
+	c.hub.Report(host, up)
+	if len(up.Keys) > 0 || len(up.Refused) > 0 {
+		c.do(func() { c.takeReport(up) })
+	}
+}
+
+// Left implements relay.Receiver.
+func (c *Controller) Left(session *relay.Session) { c.hub.Leave(session.Host) }
+
+// relay passes on an update of the store to the other gateways.
+func (c *Controller) relay(update []kv.Event, asOf kv.Revision) {
+	if c.election.State() != election.StateLeading || len(update) == 0 {
+		return
+	}
+	down := &wire.RelayDown{AsOf: int64(asOf)}
+	for _, event := range update {
+		down.Items = append(down.Items, relay.EncodeEvent(event))
+	}
+	c.server.Broadcast(down)
+}
--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -10,18 +10,24 @@
 	"github.com/sapphireplank/sapphireplank/internal/boottime"
 	"github.com/sapphireplank/sapphireplank/internal/election"
 	"github.com/sapphireplank/sapphireplank/internal/kv"
+	"github.com/sapphireplank/sapphireplank/internal/mirror"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
 )
 
 // releaseTimeout bounds the wait for running requests to end at a backend server that releases keys.
 const releaseTimeout = 2 * time.Second
 
+// keepTimeout bounds a renewal of the lease: the others learn soon that this gateway lost the store.
+const keepTimeout = 700 * time.Millisecond
+
 func (c *Controller) bootNow() time.Duration { return boottime.Now() }
 
 // electionCall does a call of the election.
 func (c *Controller) electionCall(ctx context.Context, call election.Call, started time.Duration) {
 	go func() {
 		if call.Kind == election.CallKeep {
+			ctx, cancel := context.WithTimeout(ctx, keepTimeout)
+			defer cancel()
 			err := c.Store.KeepLease(ctx, call.Lease)
 			c.do(func() { c.kept(err, started) })
 			return
@@ -32,14 +38,14 @@
 }
 
 func (c *Controller) kept(err error, started time.Duration) {
-	leading := c.election.State() == election.StateLeading
+	before := c.election.State()
 	c.election.Kept(err, started)
 	if err != nil {
 		c.Log.WithError(err).Info("lease of the elected gateway not renewed")
+	} else {
+		c.beats.contact = c.Clock()
 	}
-	if leading && c.election.State() != election.StateLeading {
-		c.lostElection()
-	}
+	c.noteElection(before)
 }
 
 func (c *Controller) campaigned(won election.Won, err error, started time.Duration) {
@@ -84,7 +90,7 @@
 	go func() {
 		revision, err := c.Store.Commit(ctx, txn)
 		if err == nil {
-			c.do(func() { c.recorded(a, revision, sequence) })
+			c.do(func() { c.recorded(a, kv.Item{Key: key, Value: value, Revision: revision}, sequence) })
 			return
 		}
 		// The write may have been executed, or may be later: the next one is made under the revision that the store
@@ -94,10 +100,12 @@
 	}()
 }
 
-func (c *Controller) recorded(a *assignment, revision kv.Revision, sequence uint64) {
+// recorded goes on from a recorded table. The others learn it at once rather than by the watch of this gateway.
+func (c *Controller) recorded(a *assignment, item kv.Item, sequence uint64) {
 	a.writing = false
-	a.revision = revision
+	a.revision = item.Revision
 	a.assigner.Recorded(sequence)
+	c.follow(mirror.Update{Events: []kv.Event{{Item: item}}})
 }
 
 func (c *Controller) notRecorded(service string, a *assignment, item kv.Item, err, readErr error) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -11,24 +12,26 @@
 	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/election"
 	"github.com/sapphireplank/sapphireplank/internal/kv"
-	"github.com/sapphireplank/sapphireplank/internal/mirror"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
+	"github.com/sapphireplank/sapphireplank/internal/relay"
 	"github.com/sapphireplank/sapphireplank/internal/routing"
 	"github.com/sapphireplank/sapphireplank/internal/snapshot"
 )
 
 // Options are what a controller needs.
 type Options struct {
-	// Host is the name of this host, and Addr its address for messages of other gateways.
+	// Host is the name of this host, and Addr its address for other gateways.
 	Host    string
 	Addr    string
 	Store   kv.Store
 	Sources Sources
 	Orders  ownership.Orders
+	// Dialer opens connections to other gateways.
+	Dialer *net.Dialer
 	// Clock returns the time since the start of the process, as traffic counts it.
 	Clock func() time.Duration
-	// Publish takes each new snapshot.
-	Publish func(*snapshot.Snapshot)
+	// Traffic is the part of the process that carries requests.
+	Traffic Traffic
 	// Settings of the election, of assigners and of planners.
 	Election  election.Settings
 	Ownership ownership.Settings
@@ -36,58 +39,71 @@
 	Log       *logrus.Entry
 }
 
+// Traffic is the part of the process that carries requests, as the control goroutine sees it.
+type Traffic interface {
+	// Publish takes each new snapshot.
+	Publish(view *snapshot.Snapshot)
+	// Loads returns the requests of this gateway at each backend server.
+	Loads() map[uint32]int
+	// Works returns how long requests run at each backend server, as this gateway measured it.
+	Works() map[uint32]relay.Work
+	// SetLoads takes the requests of all gateways at each backend server.
+	SetLoads(total map[uint32]int)
+	// SetWorks takes how long requests run at each backend server, as all gateways measured it.
+	SetWorks(works map[uint32]relay.Work)
+}
+
 const (
 	// tick is how often the goroutine looks at what is due.
 	tick = 25 * time.Millisecond
 	// eventQueue is the room for what other goroutines report.
 	eventQueue = 1024
-	// unknownGateways is the number of gateways that is assumed until the store was read: a part of a shared limit
-	// must not be too large.
-	unknownGateways = 64
 )
 
 // Controller is the control goroutine with its state.
 type Controller struct {
 	Options
-	updates chan mirror.Update
 	// results takes functions that the goroutine runs.
 	results chan func()
 	ready   atomic.Bool
+	reports *reports
+	hub     *relay.Hub
+	server  *relay.Server
 
 	// The fields below belong to the goroutine.
 	directory *directory.Directory
 	config    *routing.Config
 	routes    *routing.Table
-	gateways  map[string]bool
-	tables    map[string]recordedTable
+	tables    map[string]*ownership.Table
 	election  *election.Election
 	assigners map[string]*assignment
 	meters    map[string]*ownership.RateMeter
-	register  registration
-	listed    bool
-	dirty     bool
-	stopping  bool
-}
-
-// recordedTable is an ownership table as the store has it.
-type recordedTable struct {
-	table    *ownership.Table
-	revision kv.Revision
+	// items is what the store holds, complete up to asOf.
+	items    map[string]kv.Item
+	asOf     kv.Revision
+	source   source
+	beats    beats
+	gateways gatewayCount
+	dirty    bool
+	stopping bool
 }
 
 // New returns a controller that has not started.
 func New(options Options) *Controller {
-	return &Controller{
+	c := &Controller{
 		Options:   options,
-		updates:   make(chan mirror.Update, 16),
 		results:   make(chan func(), eventQueue),
+		reports:   newReports(),
+		hub:       relay.NewHub(options.Clock),
 		directory: directory.New(),
-		gateways:  make(map[string]bool),
-		tables:    make(map[string]recordedTable),
+		tables:    make(map[string]*ownership.Table),
 		election:  election.New(options.Election, election.Leader{Host: options.Host, Addr: options.Addr}),
 		assigners: make(map[string]*assignment),
 		meters:    make(map[string]*ownership.RateMeter),
+		items:     make(map[string]kv.Item),
 	}
+	c.server = relay.NewServer(c, options.Log)
+	return c
 }
 
 // Ready reports whether a configuration is known, so that requests can be served.
@@ -96,39 +112,28 @@
 // do runs a function in the goroutine.
 func (c *Controller) do(f func()) { c.results <- f }
 
-// Requested counts a request for a key. It never blocks.
-func (c *Controller) Requested(service string, key int) {
-	c.offer(func() { c.meter(service).Add(key, 1) })
-}
+// Requested counts a request for a key.
+func (c *Controller) Requested(service string, key int) { c.reports.requested(service, key) }
 
-// Refused notes that the recorded owner of a key refused a request. It never blocks.
+// Refused notes that the recorded owner of a key refused a request.
 func (c *Controller) Refused(service string, key int, owner string) {
-	c.offer(func() {
-		if a := c.assigners[service]; a != nil {
-			a.assigner.Refused(key, owner, boottime.Now())
-		}
-	})
+	c.reports.refused(service, key, owner)
 }
 
-// offer runs a function in the goroutine, unless it has too much to do: what is offered only improves estimates.
-func (c *Controller) offer(f func()) {
-	select {
-	case c.results <- f:
-	default:
-	}
-}
-
-// Run runs the goroutine until the context is done.
-func (c *Controller) Run(ctx context.Context) {
-	go mirror.New(c.Store, c.updates).Run(ctx)
+// Run runs the goroutine until the context is done. Other gateways connect to the listener.
+func (c *Controller) Run(ctx context.Context, listener net.Listener) {
+	go func() {
+		if err := c.server.Serve(ctx, listener); err != nil {
+			c.Log.WithError(err).Error("connections of other gateways are not served")
+		}
+	}()
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
+	c.due(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case update := <-c.updates:
-			c.follow(update)
 		case f := <-c.results:
 			f()
 		case <-ticker.C:
@@ -138,29 +143,63 @@
 	}
 }
 
-// Resign gives up what this gateway holds in the store, so that others need not wait for its leases to end.
+// due does what time has made necessary.
+func (c *Controller) due(ctx context.Context) {
+	now := boottime.Now()
+	if c.directory.Expire(c.Clock()) {
+		c.dirty = true
+	}
+	if c.stopping {
+		return
+	}
+	c.chooseSource(ctx)
+	before := c.election.State()
+	if call, due := c.election.Step(now); due {
+		c.electionCall(ctx, call, now)
+	}
+	c.noteElection(before)
+	if c.election.State() == election.StateLeading {
+		c.assign(ctx, now)
+		c.beat()
+	}
+}
+
+// noteElection ends what only the elected gateway does, if this one was and no longer is.
+func (c *Controller) noteElection(before string) {
+	if before != election.StateLeading || c.election.State() == election.StateLeading {
+		return
+	}
+	c.Log.WithField("term", c.election.Term()).Info("no longer the elected gateway")
+	c.stopAssigning()
+	c.server.CloseAll()
+}
+
+// Resign gives up the election, so that others need not wait for its lease to end.
 func (c *Controller) Resign(ctx context.Context) {
-	done := make(chan []kv.LeaseID, 1)
+	done := make(chan kv.LeaseID, 1)
 	c.do(func() {
-		var leases []kv.LeaseID
-		if c.election.State() == election.StateLeading {
-			leases = append(leases, c.election.Lease())
+		var lease kv.LeaseID
+		before := c.election.State()
+		if before == election.StateLeading {
+			lease = c.election.Lease()
 		}
 		c.election.Resign()
-		c.stopAssigning()
+		c.noteElection(before)
 		c.stopping = true
-		if c.register.lease != 0 {
-			leases = append(leases, c.register.lease)
-		}
-		done <- leases
+		done <- lease
 	})
 	select {
-	case leases := <-done:
-		for _, lease := range leases {
-			if err := c.Store.EndLease(ctx, lease); err != nil {
-				c.Log.WithError(err).Info("lease not ended; it ends by itself")
-			}
-		}
+	case lease := <-done:
+		c.endLease(ctx, lease)
 	case <-ctx.Done():
 	}
 }
+
+func (c *Controller) endLease(ctx context.Context, lease kv.LeaseID) {
+	if lease == 0 {
+		return
+	}
+	if err := c.Store.EndLease(ctx, lease); err != nil {
+		c.Log.WithError(err).Info("lease not ended; it ends by itself")
+	}
+}
--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -12,54 +12,72 @@
 	"github.com/sapphireplank/sapphireplank/internal/routing"
 )
 
-const (
-	// prefixTables holds the ownership table of each service.
-	prefixTables = "plank/ownership/"
-	// prefixGateways holds an entry for each gateway.
-	prefixGateways = "plank/gateways/"
-)
+// prefixTables holds the ownership table of each service.
+const prefixTables = "plank/ownership/"
 
-// follow takes an update of the mirror.
+// follow takes an update of what the store holds.
 func (c *Controller) follow(update mirror.Update) {
 	now := c.Clock()
 	switch {
 	case update.Err != nil:
 		c.Log.WithError(update.Err).Info("store does not answer; going on with what is known")
 		c.directory.Outage(now)
+		return
 	case update.Full:
 		c.followAll(update)
 	default:
-		for _, event := range update.Events {
-			c.followEvent(event)
-		}
+		c.followEvents(update)
 	}
+	c.beats.contact = now
 }
 
 // followAll brings everything to a complete listing.
 func (c *Controller) followAll(update mirror.Update) {
-	c.listed = true
+	if update.AsOf < c.asOf {
+		return
+	}
+	c.asOf = update.AsOf
 	c.dirty = true
-	c.gateways = make(map[string]bool)
-	c.tables = make(map[string]recordedTable)
+	c.items = make(map[string]kv.Item, len(update.Items))
+	c.tables = make(map[string]*ownership.Table)
 	var servers []directory.Server
-	leader := kv.Item{}
 	for _, item := range update.Items {
-		if server, ok := c.server(item); ok {
+		c.items[item.Key] = item
+		if server, ok := c.serverEntry(item); ok {
 			servers = append(servers, server)
 			continue
 		}
-		if item.Key == election.Key {
-			leader = item
-			continue
-		}
 		c.followItem(item)
 	}
 	c.directory.Replace(c.Clock(), servers)
-	c.observeLeader(update.AsOf, leader)
+	c.observeLeader(update.AsOf, c.items[election.Key])
+	if c.election.State() == election.StateLeading {
+		// What the others know may be missing changes too.
+		c.server.CloseAll()
+	}
+}
+
+// followEvents takes changes, and passes on those that are new.
+func (c *Controller) followEvents(update mirror.Update) {
+	var fresh []kv.Event
+	for _, event := range update.Events {
+		if event.Revision <= c.asOf || event.Revision <= c.items[event.Key].Revision {
+			continue
+		}
+		fresh = append(fresh, event)
+		if event.Deleted {
+			delete(c.items, event.Key)
+		} else {
+			c.items[event.Key] = event.Item
+		}
+		c.followEvent(event)
+	}
+	c.asOf = max(c.asOf, update.AsOf)
+	c.relay(fresh, update.AsOf)
 }
 
-// server reads the entry of a backend server, if the item is one.
-func (c *Controller) server(item kv.Item) (directory.Server, bool) {
+// serverEntry reads the entry of a backend server, if the item is one.
+func (c *Controller) serverEntry(item kv.Item) (directory.Server, bool) {
 	kind, id := c.Sources.Classify(item.Key)
 	if kind != EntryServer {
 		return directory.Server{}, false
@@ -100,7 +118,7 @@
 		c.directory.Remove(c.Clock(), id)
 		return
 	}
-	server, ok := c.server(event.Item)
+	server, ok := c.serverEntry(event.Item)
 	if !ok {
 		c.directory.Remove(c.Clock(), id)
 		return
@@ -124,7 +142,6 @@
 func (c *Controller) followItem(item kv.Item) {
 	kind, _ := c.Sources.Classify(item.Key)
 	service, isTable := strings.CutPrefix(item.Key, prefixTables)
-	host, isGateway := strings.CutPrefix(item.Key, prefixGateways)
 	switch {
 	case kind == EntryConfig:
 		c.followConfig(item)
@@ -134,9 +151,7 @@
 			c.Log.WithError(err).WithField("service", service).Warning("ownership table left out")
 			return
 		}
-		c.tables[service] = recordedTable{table: table, revision: item.Revision}
-	case isGateway:
-		c.gateways[host] = true
+		c.tables[service] = table
 	}
 }
 
@@ -145,12 +160,6 @@
 	if service, ok := strings.CutPrefix(key, prefixTables); ok {
 		delete(c.tables, service)
 	}
-	if host, ok := strings.CutPrefix(key, prefixGateways); ok {
-		delete(c.gateways, host)
-		if host == c.Host {
-			c.register.lost()
-		}
-	}
 }
 
 // followConfig puts a configuration in force. It never goes back to an older one.
@@ -174,7 +183,5 @@
 	if err := c.election.Observe(boottime.Now(), at, item.Created, item.Value); err != nil {
 		c.Log.WithError(err).Warning("election")
 	}
-	if before == election.StateLeading && c.election.State() != election.StateLeading {
-		c.lostElection()
-	}
+	c.noteElection(before)
 }
--- a/internal/controller/loop.go
+++ b/internal/controller/publish.go
@@ -1,52 +1,21 @@
 package controller
 
 import (
-	"context"
 	"time"
 
-	"github.com/sapphireplank/sapphireplank/internal/boottime"
 	"github.com/sapphireplank/sapphireplank/internal/directory"
-	"github.com/sapphireplank/sapphireplank/internal/election"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
 	"github.com/sapphireplank/sapphireplank/internal/snapshot"
 )
 
-// due does what time has made necessary.
-func (c *Controller) due(ctx context.Context) {
-	now := boottime.Now()
-	if c.directory.Expire(c.Clock()) {
-		c.dirty = true
-	}
-	if c.stopping || !c.listed {
-		return
-	}
-	c.registerStep(ctx, now)
-	before := c.election.State()
-	if call, due := c.election.Step(now); due {
-		c.electionCall(ctx, call, now)
-	}
-	if before == election.StateLeading && c.election.State() != election.StateLeading {
-		c.lostElection()
-	}
-	if c.election.State() == election.StateLeading {
-		c.assign(ctx, now)
-	}
-}
-
-// lostElection ends what only the elected gateway does.
-func (c *Controller) lostElection() {
-	c.Log.WithField("term", c.election.Term()).Info("no longer the elected gateway")
-	c.stopAssigning()
-}
-
 // publish gives traffic a new snapshot if something has changed.
 func (c *Controller) publish() {
 	if !c.dirty {
 		return
 	}
 	c.dirty = false
-	c.Publish(c.snapshot())
-	c.ready.Store(c.config != nil && c.listed)
+	c.Traffic.Publish(c.snapshot())
+	c.ready.Store(c.config != nil)
 }
 
 // snapshot returns what traffic needs to know.
@@ -54,7 +23,7 @@
 	view := &snapshot.Snapshot{
 		Routes:   c.routes,
 		Services: make(map[string]*snapshot.Service),
-		Gateways: c.gatewayCount(),
+		Gateways: c.gateways.value(c.Clock()),
 	}
 	if c.config == nil {
 		return view
@@ -62,7 +31,7 @@
 	for name, described := range c.config.Services {
 		service := &snapshot.Service{Service: described}
 		if described.Sharded {
-			service.Owners = c.tables[name].table
+			service.Owners = c.tables[name]
 		}
 		view.Services[name] = service
 	}
@@ -74,14 +43,6 @@
 	return view
 }
 
-// gatewayCount returns the number of gateways that share the limits.
-func (c *Controller) gatewayCount() int {
-	if !c.listed {
-		return unknownGateways
-	}
-	return max(1, len(c.gateways))
-}
-
 // meter returns the request rates of the keys of a service.
 func (c *Controller) meter(service string) *ownership.RateMeter {
 	meter := c.meters[service]
--- /dev/null
+++ b/internal/controller/reports.go
@@ -0,0 +1,60 @@
+package controller
+
+import (
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/sapphireplank/sapphireplank/internal/wire"
+)
+
+// reports collects what traffic has seen until it is reported. It is safe for concurrent use.
+type reports struct {
+	// mu protects the fields below.
+	mu       sync.Mutex
+	counts   map[string]map[int]int
+	refusals []*wire.RefusedKey
+}
+
+// maxRefusals bounds the refused keys of one report: each only makes a grant come sooner.
+const maxRefusals = 32
+
+func newReports() *reports { return &reports{counts: make(map[string]map[int]int)} }
+
+func (r *reports) requested(service string, key int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	keys := r.counts[service]
+	if keys == nil {
+		keys = make(map[int]int)
+		r.counts[service] = keys
+	}
+	keys[key]++
+}
+
+func (r *reports) refused(service string, key int, owner string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.refusals) < maxRefusals {
+		r.refusals = append(r.refusals, &wire.RefusedKey{Service: service, Key: uint32(key), Owner: owner})
+	}
+}
+
+// take returns what was collected and begins anew.
+func (r *reports) take() ([]*wire.KeyCounts, []*wire.RefusedKey) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var counts []*wire.KeyCounts
+	for _, service := range slices.Sorted(maps.Keys(r.counts)) {
+		message := &wire.KeyCounts{Service: service}
+		for key, count := range r.counts[service] {
+			message.Keys = append(message.Keys, uint32(key))
+			message.Counts = append(message.Counts, uint32(count))
+		}
+		counts = append(counts, message)
+	}
+	refusals := r.refusals
+	clear(r.counts)
+	r.refusals = nil
+	return counts, refusals
+}
--- a/internal/controller/sources.go
+++ b/internal/controller/sources.go
@@ -1,8 +1,9 @@
 // Package controller runs the control goroutine of a gateway. It follows the store, takes part in the election, and,
 // while it is elected, assigns keys to backend servers. It publishes a snapshot for traffic after each change.
 //
-// loop.go is the goroutine; follow.go takes what the store reports; assign.go drives the assigners; calls.go does the
-// calls of the store and the orders, outside the goroutine.
+// controller.go is the goroutine; source.go chooses between the store and the elected gateway; follow.go takes what
+// either reports; assign.go drives the assigners; beats.go is what the elected gateway tells the others; calls.go does
+// the calls of the store and the orders, outside the goroutine; publish.go makes the snapshot.
 package controller
 
 import (
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/admission"
 	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
+	"github.com/sapphireplank/sapphireplank/internal/relay"
 	"github.com/sapphireplank/sapphireplank/internal/serverconn"
 	"github.com/sapphireplank/sapphireplank/internal/snapshot"
 )
@@ -89,7 +90,7 @@
 func (d *Dispatcher) server(known directory.Known) *server {
 	s := d.servers[known.Incarnation()]
 	if s == nil {
-		s = &server{pool: d.dial(known.Addr), local: known.Zone == d.zone}
+		s = &server{pool: d.dial(known.Addr), local: known.Zone == d.zone, hash: relay.ServerHash(known.Incarnation())}
 		d.servers[known.Incarnation()] = s
 	}
 	s.known = known
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -25,11 +25,32 @@
 	own    int
 	others placing.Others
 	work   placing.Work
+	// fleetWork is how long requests run at the server as all gateways measured it; 0 if that is not known.
+	fleetWork time.Duration
+	// fleet is the number of requests of other gateways as the gateways told each other, at fleetAt.
+	fleet   int
+	fleetAt time.Duration
+	// hash names the server in messages between gateways.
+	hash   uint32
 	record suspicion.Record
 }
 
+// fleetFor is how long the gateways' own numbers are better than the load that a server reports.
+const fleetFor = 300 * time.Millisecond
+
+// othersNow estimates the requests of other gateways at the server.
+func (s *server) othersNow(now time.Duration, mean float64) float64 {
+	if s.fleetAt > 0 && now-s.fleetAt < fleetFor {
+		return float64(s.fleet)
+	}
+	return s.others.Estimate(now, mean)
+}
+
 // state returns what placing needs to know.
 func (s *server) state(now, meanWork time.Duration, meanOthers float64) placing.Server {
+	if s.fleetWork > 0 {
+		meanWork = s.fleetWork
+	}
 	work := s.work.Expected(meanWork)
 	if now < s.known.ColdUntil {
 		work *= coldFactor
@@ -41,7 +62,7 @@
 	return placing.Server{
 		Slots:        s.known.Slots,
 		Own:          s.own,
-		Others:       s.others.Estimate(now, meanOthers),
+		Others:       s.othersNow(now, meanOthers),
 		Work:         work,
 		Distance:     distance,
 		FailureShare: s.record.FailureShare(now),
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -25,7 +25,9 @@
 	// deadline is on its way.
 	timeoutSlack = 25 * time.Millisecond
 	// patienceFactor is how many times the expected time an idempotent request waits before it is sent again.
-	patienceFactor = 4
+	patienceFactor = 6
+	// patienceTargets is the same in latency objectives.
+	patienceTargets = 2
 )
 
 // forward is the way of one request to backend servers.
@@ -91,7 +93,7 @@
 	limit := left + timeoutSlack
 	again := f.route.Idempotent && f.sends+1 < f.route.MaxAttempts
 	if again {
-		limit = min(limit, max(patienceFactor*ticket.Expected, f.route.Target))
+		limit = min(limit, max(patienceFactor*ticket.Expected, patienceTargets*f.route.Target))
 	}
 	parent := leave
 	if !f.route.Idempotent {
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -22,6 +22,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/logging"
 	"github.com/sapphireplank/sapphireplank/internal/netdial"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
+	"github.com/sapphireplank/sapphireplank/internal/relay"
 	"github.com/sapphireplank/sapphireplank/internal/retry"
 	"github.com/sapphireplank/sapphireplank/internal/serverconn"
 	"github.com/sapphireplank/sapphireplank/internal/snapshot"
@@ -90,16 +91,14 @@
 
 func (n *Node) controllerOptions() controller.Options {
 	return controller.Options{
-		Host:    n.settings.Host,
-		Addr:    net.JoinHostPort(n.settings.Address, strconv.Itoa(n.settings.InternalPorts[0])),
-		Store:   n.adapter.Store,
-		Sources: n.adapter.Sources,
-		Orders:  n.adapter.Orders,
-		Clock:   n.clock,
-		Publish: func(view *snapshot.Snapshot) {
-			n.view.Store(view)
-			n.dispatcher.Update(view)
-		},
+		Host:      n.settings.Host,
+		Addr:      n.relayAddr(),
+		Store:     n.adapter.Store,
+		Sources:   n.adapter.Sources,
+		Orders:    n.adapter.Orders,
+		Clock:     n.clock,
+		Dialer:    ServerSilence.Dialer(),
+		Traffic:   traffic{n},
 		Election:  electionSettings(n.settings),
 		Ownership: ownershipSettings(n.settings, n.adapter.Keys),
 		Planner:   plannerSettings(n.adapter.Keys),
@@ -107,6 +106,26 @@
 	}
 }
 
+// relayAddr is the address for other gateways.
+func (n *Node) relayAddr() string {
+	return net.JoinHostPort(n.settings.Address, strconv.Itoa(n.settings.InternalPorts[0]))
+}
+
+// traffic is the part of the node that carries requests, for the control goroutine.
+type traffic struct{ *Node }
+
+var _ controller.Traffic = traffic{}
+
+func (t traffic) Publish(view *snapshot.Snapshot) {
+	t.view.Store(view)
+	t.dispatcher.Update(view)
+}
+
+func (t traffic) Loads() map[uint32]int                { return t.dispatcher.Loads() }
+func (t traffic) Works() map[uint32]relay.Work         { return t.dispatcher.Works() }
+func (t traffic) SetLoads(total map[uint32]int)        { t.dispatcher.SetLoads(total) }
+func (t traffic) SetWorks(works map[uint32]relay.Work) { t.dispatcher.SetWorks(works) }
+
 // Run serves until the context is done and then stops within the grace time.
 func (n *Node) Run(ctx context.Context) error {
 	callers, err := net.Listen("tcp4", n.settings.Callers)
@@ -117,9 +136,13 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for the balancer on %q", n.settings.Readiness)
 	}
+	gateways, err := net.Listen("tcp4", n.relayAddr())
+	if err != nil {
+		return errors.Wrapf(err, "listen for other gateways on %q", n.relayAddr())
+	}
 	control, endControl := context.WithCancel(context.Background())
 	defer endControl()
-	go n.controller.Run(control)
+	go n.controller.Run(control, gateways)
 	go n.serveReadiness(readiness)
 	served := make(chan error, 1)
 	go func() { served <- n.server.Serve(callers) }()
@@ -175,7 +198,7 @@
 	ttl := leases * s.ShortestLease
 	return election.Settings{
 		TTL:       ttl,
-		KeepEvery: ttl / 3,
+		KeepEvery: leaseKeep,
 		Stretch:   outageStretch,
 		Delay:     campaignDelay(s.Host),
 	}
@@ -197,6 +220,9 @@
 	// grantHold is how long keys are granted. The keys of a lost backend server are without an owner for as long;
 	// a gateway that takes over renewal has as long.
 	grantHold = 5 * time.Second
+	// leaseKeep is the time between two renewals of the lease of the elected gateway. The others rely on it only
+	// while it reaches the store.
+	leaseKeep = 300 * time.Millisecond
 	// outageStretch is how long the elected gateway renews grants while the store is away.
 	outageStretch = 12 * time.Second
 )
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// watchWait is how long a watch waits for a change. A connection that went silent is noticed after it at the latest.
-	watchWait = 5 * time.Second
 	// settle is the pause after a change: further changes come with one call then.
 	settle = 15 * time.Millisecond
 	// firstRetry doubles with each failure in a row up to longestRetry.
@@ -27,7 +25,7 @@
 	Full   bool
 	Items  []kv.Item
 	Events []kv.Event
-	// AsOf is the revision up to which the update is complete.
+	// AsOf is the revision up to which the update is complete, or 0 if it does not say.
 	AsOf kv.Revision
 	// Err is the error of a call, if one failed. The rest is empty then.
 	Err error
@@ -36,24 +34,23 @@
 // Mirror follows a store.
 type Mirror struct {
 	store   kv.Store
-	updates chan<- Update
+	wait    time.Duration
+	deliver func(context.Context, Update)
 }
 
-// New returns a mirror that sends updates to a channel.
-func New(store kv.Store, updates chan<- Update) *Mirror {
-	return &Mirror{store: store, updates: updates}
+// New returns a mirror that hands updates to a function. Each watch waits for a time: a connection that went silent
+// is noticed after it at the latest.
+func New(store kv.Store, wait time.Duration, deliver func(context.Context, Update)) *Mirror {
+	return &Mirror{store: store, wait: wait, deliver: deliver}
 }
 
-// Run follows the store until the context is done.
-func (m *Mirror) Run(ctx context.Context) {
+// Run follows the store from a revision until the context is done. From revision 0 it begins with a listing.
+func (m *Mirror) Run(ctx context.Context, asOf kv.Revision) {
 	failures := 0
-	var asOf kv.Revision
-	listed := false
 	for ctx.Err() == nil {
 		var err error
-		if !listed {
+		if asOf == 0 {
 			asOf, err = m.list(ctx)
-			listed = err == nil
 		} else {
 			asOf, err = m.watch(ctx, asOf)
 		}
@@ -61,10 +58,10 @@
 		case err == nil:
 			failures = 0
 		case errors.Is(err, kv.ErrCompacted):
-			listed = false
-		default:
+			asOf = 0
+		case ctx.Err() == nil:
 			failures++
-			m.send(ctx, Update{Err: err})
+			m.deliver(ctx, Update{Err: err})
 			pause(ctx, retryPause(failures))
 		}
 	}
@@ -76,28 +73,22 @@
 	if err != nil {
 		return 0, err
 	}
-	m.send(ctx, Update{Full: true, Items: listing.Items, AsOf: listing.AsOf})
+	m.deliver(ctx, Update{Full: true, Items: listing.Items, AsOf: listing.AsOf})
 	return listing.AsOf, nil
 }
 
 // watch waits for changes and returns the revision from which to go on.
 func (m *Mirror) watch(ctx context.Context, asOf kv.Revision) (kv.Revision, error) {
-	changes, err := m.store.Watch(ctx, "", asOf, watchWait)
+	changes, err := m.store.Watch(ctx, "", asOf, m.wait)
 	if err != nil {
 		return asOf, err
 	}
-	m.send(ctx, Update{Events: changes.Events, AsOf: changes.AsOf})
+	asOf = max(asOf, changes.AsOf)
+	m.deliver(ctx, Update{Events: changes.Events, AsOf: asOf})
 	if len(changes.Events) > 0 {
 		pause(ctx, settle)
 	}
-	return max(asOf, changes.AsOf), nil
-}
-
-func (m *Mirror) send(ctx context.Context, update Update) {
-	select {
-	case m.updates <- update:
-	case <-ctx.Done():
-	}
+	return asOf, nil
 }
 
 // retryPause returns the pause after a number of failures in a row. It is random, so that many processes do not
--- a/internal/placing/work.go
+++ b/internal/placing/work.go
@@ -30,3 +30,9 @@
 	trust := float64(w.count) / float64(w.count+fewMeasurements)
 	return time.Duration(trust*float64(w.mean) + (1-trust)*float64(mean))
 }
+
+// measurementMemory bounds the number of measurements that a mean stands for.
+const measurementMemory = 20
+
+// Measured returns the mean and the number of measurements that it stands for.
+func (w *Work) Measured() (time.Duration, int) { return w.mean, min(w.count, measurementMemory) }
--- /dev/null
+++ b/internal/relay/codec.go
@@ -0,0 +1,95 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sapphireplank/sapphireplank/internal/directory"
+	"github.com/sapphireplank/sapphireplank/internal/kv"
+	"github.com/sapphireplank/sapphireplank/internal/wire"
+)
+
+// ServerHash names a life of a backend server in messages.
+func ServerHash(life directory.Incarnation) uint32 {
+	digest := xxhash.New()
+	// Writing to a digest does not fail.
+	_, _ = digest.WriteString(life.ID)
+	var born [8]byte
+	for i := range born {
+		born[i] = byte(life.Born >> (8 * i))
+	}
+	_, _ = digest.Write(born[:])
+	return uint32(digest.Sum64())
+}
+
+// EncodeLoads returns the message form of request counts.
+func EncodeLoads(loads map[uint32]int) *wire.ServerLoads {
+	message := &wire.ServerLoads{}
+	for server, requests := range loads {
+		if requests > 0 {
+			message.Servers = append(message.Servers, server)
+			message.Requests = append(message.Requests, uint32(requests))
+		}
+	}
+	return message
+}
+
+// DecodeLoads returns the request counts of a message.
+func DecodeLoads(message *wire.ServerLoads) map[uint32]int {
+	loads := make(map[uint32]int, len(message.GetServers()))
+	for i, server := range message.GetServers() {
+		if i < len(message.GetRequests()) {
+			loads[server] = int(message.GetRequests()[i])
+		}
+	}
+	return loads
+}
+
+// EncodeWorks returns the message form of run times.
+func EncodeWorks(works map[uint32]Work) []*wire.ServerWork {
+	var message []*wire.ServerWork
+	for server, work := range works {
+		message = append(message, &wire.ServerWork{
+			Server: server, MeanUs: uint32(work.Mean.Microseconds()), Measurements: uint32(work.Measurements),
+		})
+	}
+	return message
+}
+
+// DecodeWorks returns the run times of a message.
+func DecodeWorks(message []*wire.ServerWork) map[uint32]Work {
+	works := make(map[uint32]Work, len(message))
+	for _, work := range message {
+		works[work.Server] = Work{
+			Mean: time.Duration(work.MeanUs) * time.Microsecond, Measurements: int(work.Measurements),
+		}
+	}
+	return works
+}
+
+// EncodeEvent returns the message form of a change.
+func EncodeEvent(event kv.Event) *wire.RelayItem {
+	return &wire.RelayItem{
+		Key:      event.Key,
+		Value:    event.Value,
+		Revision: int64(event.Revision),
+		Created:  int64(event.Created),
+		Lease:    int64(event.Lease),
+		Deleted:  event.Deleted,
+	}
+}
+
+// DecodeEvent returns the change of a message.
+func DecodeEvent(item *wire.RelayItem) kv.Event {
+	return kv.Event{
+		Item: kv.Item{
+			Key:      item.Key,
+			Value:    item.Value,
+			Revision: kv.Revision(item.Revision),
+			Created:  kv.Revision(item.Created),
+			Lease:    kv.LeaseID(item.Lease),
+		},
+		Deleted: item.Deleted,
+	}
+}
--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -74,6 +74,10 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	// The deadline of the last request would end the look at the socket.
+	if err := c.tcp.SetDeadline(time.Time{}); err != nil {
+		return false
+	}
 	raw, err := c.tcp.SyscallConn()
 	if err != nil {
 		return false
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -19,6 +19,7 @@
 	FrameEnd          FrameType = 4
 	FrameControl      FrameType = 5
 	FrameQuery        FrameType = 6
+	FrameRelay        FrameType = 7
 )
 
 const (
