ownership, admission: isolate a key that is busier than a server

No range of keys fitted what had to move, so nothing moved, and 10 gateways each let requests wait as if the owner were theirs alone.

Change: the key goes to the fastest server and that server's other keys elsewhere; the wait for a full owner is reckoned with this gateway's part of its slots; requests wait only while they can be on time, or for a fifth of what is left.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -22,9 +22,9 @@
 }
 
 const (
-	// patienceShare is the share of the time left that a request may be expected to wait: an estimate that is too
-	// short would end in a late refusal.
-	patienceShare = 0.6
+	// patienceShare is the share of the time left that a request may be expected to wait although it then misses its
+	// latency objective. Longer queues would make all requests late and end in late refusals.
+	patienceShare = 0.2
 	// shortestReturn and longestReturn bound how soon a refused caller is asked to come back.
 	shortestReturn = 50 * time.Millisecond
 	longestReturn  = time.Second
@@ -32,8 +32,9 @@
 
 // MayWait reports whether a request that is expected to wait and then run for some time should wait.
 func MayWait(r Request, now, wait, work time.Duration) bool {
-	left := r.Deadline - now - work
-	return float64(wait) <= patienceShare*float64(left)
+	onTime := r.TargetAt - now - work
+	late := time.Duration(patienceShare * float64(r.Deadline-now-work))
+	return wait <= max(onTime, late)
 }
 
 // Hopeless reports whether a waiting request can no longer be answered in time.
--- a/internal/controller/publish.go
+++ b/internal/controller/publish.go
@@ -59,4 +59,4 @@
 }
 
 // rateHalfLife is how fast the measured request rates of keys follow a change.
-const rateHalfLife = 1200 * time.Millisecond
+const rateHalfLife = 800 * time.Millisecond
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -128,8 +128,14 @@
 	if state.HasRoom(placing.Limits{Target: demand.Target}) {
 		return choice{server: owner, token: row.Token, work: state.Work}
 	}
-	wait := time.Duration(float64(ahead+1) / float64(state.Slots) * float64(state.Work))
-	return choice{reason: ReasonFull, wait: wait, work: state.Work}
+	return choice{reason: ReasonFull, wait: fullWait(state, ahead), work: state.Work}
+}
+
+// fullWait returns how long a request waits for room at a server, if each gateway gets the part of the server's slots
+// that it has of the requests there.
+func fullWait(state placing.Server, ahead int) time.Duration {
+	part := float64(max(1, state.Own)) / max(1, state.Outstanding())
+	return time.Duration(float64(ahead+1) / (float64(state.Slots) * part) * float64(state.Work))
 }
 
 // owner returns the row of a key and the server that owns it, if this gateway knows it.
--- a/internal/ownership/evenout.go
+++ b/internal/ownership/evenout.go
@@ -54,16 +54,14 @@
 	}
 	window, row, found := d.window(from, wanted)
 	if !found {
-		return false
+		return d.isolate(from, to, mean)
 	}
 	rate := d.rate(window)
 	after := max((from.rate-rate)/from.Capacity, (to.rate+rate)/to.Capacity)
 	if from.utilization()-after < leastGain*mean {
 		return false
 	}
-	from.cut(row, window)
-	from.rate -= rate
-	d.move(window, to)
+	d.take(from, row, window, to)
 	return true
 }
 
@@ -116,10 +114,6 @@
 		} else {
 			keys.Last++
 		}
-		if next*float64(row.Count()) < wanted {
-			// The neighbours are no busier than the average key: the rest would cost more keys than it moves load.
-			return keys
-		}
 	}
 	return keys
 }
--- a/internal/ownership/holder.go
+++ b/internal/ownership/holder.go
@@ -2,10 +2,10 @@
 
 // Holder is one life of a backend server that holds keys, or may hold them.
 type Holder struct {
-	ID string `json:"id"`
+	ID string
 	// Born distinguishes the lives of one ID: a life holds nothing of what an earlier one held.
-	Born int64  `json:"born"`
-	Addr string `json:"addr"`
+	Born int64
+	Addr string
 }
 
 // None reports whether there is no holder.
--- a/internal/ownership/keys.go
+++ b/internal/ownership/keys.go
@@ -4,8 +4,8 @@
 
 // Keys is a range of keys. Both ends belong to it.
 type Keys struct {
-	First int `json:"first"`
-	Last  int `json:"last"`
+	First int
+	Last  int
 }
 
 // Count returns the number of keys.
