netdial: end connections to servers with a reset

Ruled out: an assigner that goes on from an old table (the tokens of the takeover were above 262).

Change: connections to backend servers and the store end with a reset, also when the process is killed.

--- a/internal/controller/assign.go
+++ b/internal/controller/assign.go
@@ -21,7 +21,7 @@
 	// startSettle is how long the first plan of a service waits for backend servers to register.
 	startSettle = 400 * time.Millisecond
 	// rowsPerServer is the number of rows per backend server above which neighbouring rows are joined.
-	rowsPerServer = 5
+	rowsPerServer = 3
 	// coldCapacity is the share of its capacity that a server has which has just started.
 	coldCapacity = 0.5
 	// unknownRunTime is assumed for all servers alike until there are measurements.
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -228,7 +228,7 @@
 )
 
 func plannerSettings(keys int) ownership.PlannerSettings {
-	return ownership.PlannerSettings{Keys: keys, Tolerance: 1.25, IdleBelow: 0, MaxMoves: 8, MinRate: 5}
+	return ownership.PlannerSettings{Keys: keys, Tolerance: 1.25, IdleBelow: 0.4, MaxMoves: 8, MinRate: 5}
 }
 
 // campaignDelay spreads the campaigns of the gateways.
--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -23,17 +23,28 @@
 // probeCount is the number of unanswered keep-alive probes that end a connection.
 const probeCount = 2
 
-// Dialer returns a dialer with these limits.
+// Dialer returns a dialer with these limits. Its connections end with a reset, also if the process is killed: bytes
+// that a network partition holds up would otherwise arrive when it heals, long after they were given up.
 func (s Settings) Dialer() *net.Dialer {
 	return &net.Dialer{
 		Timeout:         s.ConnectTimeout,
 		KeepAliveConfig: s.KeepAlive(),
 		ControlContext: func(_ context.Context, _, _ string, raw syscall.RawConn) error {
+			if err := resetAtEnd(raw); err != nil {
+				return err
+			}
 			return s.limitSilence(raw)
 		},
 	}
 }
 
+// resetAtEnd makes the end of a connection discard what was not delivered.
+func resetAtEnd(raw syscall.RawConn) error {
+	return control(raw, func(fd int) error {
+		return unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1, Linger: 0})
+	})
+}
+
 // KeepAlive returns the keep-alive settings.
 func (s Settings) KeepAlive() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: s.ProbeEvery, Interval: s.ProbeEvery, Count: probeCount}
@@ -49,10 +60,15 @@
 }
 
 func (s Settings) limitSilence(raw syscall.RawConn) error {
-	var failure error
-	err := raw.Control(func(fd uintptr) {
-		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(s.SilenceTimeout.Milliseconds()))
+	return control(raw, func(fd int) error {
+		return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(s.SilenceTimeout.Milliseconds()))
 	})
+}
+
+// control runs a function on the descriptor of a connection.
+func control(raw syscall.RawConn, f func(fd int) error) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) { failure = f(int(fd)) })
 	if err != nil {
 		return err
 	}
--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -62,10 +62,9 @@
 	}
 }
 
-// close resets the connection, so that bytes that a network partition holds up do not arrive later.
+// close ends the connection. The dialer of package netdial makes that a reset.
 func (c *conn) close() {
 	// Nothing can be done about a connection that cannot be closed.
-	_ = c.tcp.SetLinger(0)
 	_ = c.tcp.Close()
 }
 
