directory, entry: forget lapsed entries in time, break off within the budget

Ruled out: a missed watch event (the configuration of the same moment was in force), a relay that held back events.

Change: a vanished entry is kept until 2.1 s after the last failed contact with the store, not after its removal. A send is broken off only once its retry is in the budget, and never while the gateway stops.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -3,12 +3,9 @@
 import "time"
 
 const (
-	// lapseGrace is how long an entry is kept that vanished around an outage of the store: the servers that
-	// live write theirs again within that time.
+	// lapseGrace is how long after an outage of the store an entry is kept that has vanished: the servers that live
+	// write theirs again within that time, and one that is missing then is gone.
 	lapseGrace = 2100 * time.Millisecond
-	// outageShadow is how long after the last failed contact with the store a vanished entry is taken as
-	// lapsed rather than removed.
-	outageShadow = 3 * time.Second
 )
 
 // Directory is the set of known backend servers. Time is the monotonic time since the start of the process.
@@ -35,7 +32,7 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{entries: make(map[string]*entry), lastOutage: -outageShadow}
+	return &Directory{entries: make(map[string]*entry), lastOutage: -lapseGrace}
 }
 
 // Outage notes that the store did not answer.
@@ -52,14 +49,12 @@
 	if !ok {
 		return
 	}
-	if now-d.lastOutage >= outageShadow {
+	if now-d.lastOutage >= lapseGrace {
 		delete(d.entries, id)
 		return
 	}
-	if !e.lapsed {
-		e.lapsed = true
-		e.forgetAt = now + lapseGrace
-	}
+	e.lapsed = true
+	e.forgetAt = d.lastOutage + lapseGrace
 }
 
 // Replace brings the directory to a complete listing.
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,64 @@
+package directory
+
+import (
+	"testing"
+	"time"
+)
+
+func ids(d *Directory) map[string]bool {
+	known := make(map[string]bool)
+	for _, server := range d.Servers() {
+		known[server.ID] = true
+	}
+	return known
+}
+
+// Guards against two faults: forgetting servers whose entries only lapsed while the store was away, and keeping one
+// that left after the store was back for longer than the drain time allows.
+func TestVanishedEntries(t *testing.T) {
+	const outage = 10 * time.Second
+	cases := []struct {
+		name      string
+		removedAt time.Duration
+		keptUntil time.Duration
+	}{
+		{"long before an outage", 5 * time.Second, 5 * time.Second},
+		{"right after an outage", outage + 100*time.Millisecond, outage + lapseGrace},
+		{"some time after an outage", outage + 1500*time.Millisecond, outage + lapseGrace},
+		{"when the store has been back for long", outage + 2500*time.Millisecond, outage + 2500*time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := New()
+			d.Put(0, Server{ID: "a", Service: "s"})
+			if c.removedAt > outage {
+				d.Outage(outage)
+			}
+			d.Remove(c.removedAt, "a")
+			if kept := ids(d)["a"]; kept != (c.keptUntil > c.removedAt) {
+				t.Fatalf("kept right after its removal: %v", kept)
+			}
+			d.Expire(c.keptUntil - 1)
+			if c.keptUntil > c.removedAt && !ids(d)["a"] {
+				t.Fatalf("forgotten before %v", c.keptUntil)
+			}
+			d.Expire(c.keptUntil)
+			if ids(d)["a"] {
+				t.Fatalf("still kept at %v", c.keptUntil)
+			}
+		})
+	}
+}
+
+// Guards against a server that is forgotten although it has written its entry again after an outage.
+func TestLapsedEntryComesBack(t *testing.T) {
+	d := New()
+	d.Put(0, Server{ID: "a"})
+	d.Outage(time.Second)
+	d.Replace(time.Second, nil)
+	d.Replace(2*time.Second, []Server{{ID: "a"}})
+	d.Expire(time.Minute)
+	if !ids(d)["a"] {
+		t.Fatal("server was forgotten")
+	}
+}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -50,6 +50,8 @@
 	last *serverconn.Answer
 	// lastVerdict is the verdict of the last send.
 	lastVerdict verdict
+	// granted is true if the next send is in the retry budget already.
+	granted bool
 }
 
 // run sends the request until there is an answer to return.
@@ -91,10 +93,6 @@
 func (f *forward) send(leave context.Context, ticket *dispatch.Ticket) {
 	left := f.left()
 	limit := left + timeoutSlack
-	again := f.route.Idempotent && f.sends+1 < f.route.MaxAttempts
-	if again {
-		limit = min(limit, max(patienceFactor*ticket.Expected, patienceTargets*f.route.Target))
-	}
 	parent := leave
 	if !f.route.Idempotent {
 		// What may run once only is not broken off: its outcome would be unknown.
@@ -102,8 +100,10 @@
 	}
 	ctx, cancel := context.WithTimeout(parent, limit)
 	defer cancel()
+	impatient := f.startPatience(ticket, cancel)
 	started := f.handler.Clock()
 	a, err := ticket.Pool.Do(ctx, f.outgoing(left, ticket))
+	impatient.stop()
 	f.last, f.lastVerdict = a, judge(a, err)
 	f.report(ticket, limit, err, started, leave.Err() != nil)
 }
@@ -208,6 +208,10 @@
 	if f.sends >= f.route.MaxAttempts || f.left() <= leastLeft {
 		return false
 	}
+	if f.granted {
+		f.granted = false
+		return true
+	}
 	return f.handler.Budgets.Take(f.demand.Service, f.gateway)
 }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -33,9 +33,11 @@
 	Dispatcher *dispatch.Dispatcher
 	Headers    exchange.Headers
 	Budgets    *Budgets
-	// Zone is the availability zone of this host.
+	// Silence are the time limits of connections of callers.
 	Silence netdial.Settings
-	Log     *logrus.Entry
+	// Stopping reports whether the process is about to end.
+	Stopping func() bool
+	Log      *logrus.Entry
 	// Refused is told of each request that the recorded owner of its key refused.
 	Refused func(service string, key int, owner string)
 	// Requested is told of each request for a key of a sharded service.
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -72,6 +72,7 @@
 			Window: settings.RetryWindow, Ratio: settings.RetryRatio, Slack: settings.RetrySlack,
 		}, n.clock),
 		Silence:   callerSilence,
+		Stopping:  n.stopping.Load,
 		Log:       logs.Part("entry"),
 		Refused:   n.controller.Refused,
 		Requested: n.requested,
