--- a/internal/ownership/assigner.go
+++ b/internal/ownership/assigner.go
@@ -29,20 +29,25 @@
 }
 
 // TakeOver returns an assigner that goes on from a recorded table. Each row gets a new token, which ends what an
-// earlier assigner can still renew, and its keys stay with their owner.
+// earlier assigner can still renew once the owner has seen it, and its keys stay with their owner.
 func TakeOver(settings Settings, table *Table, now time.Duration) *Assigner {
 	a := &Assigner{settings: settings, next: table.NextToken, ended: make(map[life]bool)}
-	held := now + settings.Inherited + settings.heldFor()
-	unsettled := now + settings.heldFor()
+	// An earlier assigner acts on what it has recorded: it may renew the owners for a while, but no former holders.
+	renewed := now + settings.Inherited + settings.OrderTimeout + settings.heldFor()
+	sent := now + settings.OrderTimeout + settings.heldFor()
 	for _, row := range table.Rows {
 		state := &rowState{keys: row.Keys, owner: row.Owner, moving: row.Moving}
 		if !row.Owner.None() {
-			state.heldUntil, state.unsettledUntil = held, unsettled
+			state.heldUntil, state.unsettledUntil = renewed, renewed
 			state.inherited = true
 		}
 		for _, former := range row.Former {
+			end := sent
+			if former.Unfenced {
+				end = renewed
+			}
 			state.guards = append(state.guards, &guard{
-				holder: former.Holder, token: former.Token, heldUntil: held, unsettledUntil: unsettled,
+				holder: former.Holder, token: former.Token, heldUntil: end, unsettledUntil: end, unfenced: former.Unfenced,
 			})
 		}
 		state.token = a.newToken()
--- a/internal/ownership/codec.go
+++ b/internal/ownership/codec.go
@@ -42,7 +42,7 @@
 		}
 		for _, former := range row.Former {
 			encoded.Former = append(encoded.Former, &wire.OwnershipFormer{
-				Holder: holders.number(former.Holder), Token: uint64(former.Token),
+				Holder: holders.number(former.Holder), Token: uint64(former.Token), Unfenced: former.Unfenced,
 			})
 		}
 		message.Rows = append(message.Rows, encoded)
@@ -95,7 +95,9 @@
 		if err != nil {
 			return Row{}, err
 		}
-		row.Former = append(row.Former, FormerHolder{Holder: holder, Token: Token(former.Token)})
+		row.Former = append(row.Former, FormerHolder{
+			Holder: holder, Token: Token(former.Token), Unfenced: former.Unfenced,
+		})
 	}
 	return row, nil
 }
--- a/internal/ownership/done.go
+++ b/internal/ownership/done.go
@@ -46,8 +46,8 @@
 func (a *Assigner) granted(r *rowState, now time.Duration) {
 	r.heldUntil = max(r.heldUntil, now+a.settings.heldFor())
 	if r.inherited {
-		// Grants of an earlier assigner that came before this one may still take effect.
-		r.unsettledUntil = max(r.unsettledUntil, now+a.settings.heldFor())
+		// The owner refuses what an earlier assigner sends from now on. What came before may still take effect.
+		r.unsettledUntil = now + a.settings.heldFor()
 		r.heldUntil = now + a.settings.heldFor()
 		r.inherited = false
 	}
--- a/internal/ownership/guard.go
+++ b/internal/ownership/guard.go
@@ -11,6 +11,8 @@
 	// unsettledUntil is when the last grant without an answer has run out. Such a grant may take effect after
 	// a release was answered.
 	unsettledUntil time.Duration
+	// unfenced is true if an assigner that was elected before may still renew the keys.
+	unfenced bool
 	released       bool
 	handover       string
 	// sending is true while a release is under way.
--- /dev/null
+++ b/internal/ownership/history_test.go
@@ -0,0 +1,383 @@
+package ownership
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var historySettings = Settings{
+	Keys:         12,
+	Hold:         4 * time.Second,
+	RenewEvery:   time.Second,
+	RetryEvery:   150 * time.Millisecond,
+	OrderTimeout: 500 * time.Millisecond,
+	Inherited:    6 * time.Second,
+}
+
+const (
+	historyStep = 25 * time.Millisecond
+	// lateBy bounds how long after its arrival an order without an answer may take effect.
+	lateBy = 12 * time.Second
+)
+
+// hold is a grant that a simulated backend server keeps.
+type hold struct {
+	keys  Keys
+	token Token
+	until time.Duration
+}
+
+// simServer is one life of a backend server. It checks the token of a grant when the call arrives only, which is the
+// weakest check that the protocol allows.
+type simServer struct {
+	holder Holder
+	up     bool
+	holds  []hold
+	seen   map[int]Token
+}
+
+func (s *simServer) owns(key int, now time.Duration) bool {
+	return s.up && slices.ContainsFunc(s.holds, func(h hold) bool { return h.keys.Contains(key) && now < h.until })
+}
+
+func (s *simServer) sawHigher(keys Keys, token Token) bool {
+	for key := keys.First; key <= keys.Last; key++ {
+		if s.seen[key] > token {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *simServer) apply(h hold) {
+	s.remove(h.keys)
+	s.holds = append(s.holds, h)
+	for key := h.keys.First; key <= h.keys.Last; key++ {
+		s.seen[key] = max(s.seen[key], h.token)
+	}
+}
+
+// remove ends the holds of keys and keeps the rest of each hold.
+func (s *simServer) remove(keys Keys) {
+	var left []hold
+	for _, h := range s.holds {
+		for key := h.keys.First; key <= h.keys.Last; key++ {
+			if !keys.Contains(key) {
+				left = append(left, hold{keys: Keys{First: key, Last: key}, token: h.token, until: h.until})
+			}
+		}
+	}
+	s.holds = left
+}
+
+// delivery is something that happens at a later time.
+type delivery struct {
+	at time.Duration
+	do func()
+}
+
+// simProcess is a gateway that assigns keys, or believes that it does.
+type simProcess struct {
+	assigner *Assigner
+	revision int
+	writing  bool
+	// until is when a process that was replaced stops to renew.
+	until time.Duration
+}
+
+// history is one random run.
+type history struct {
+	random   *rand.Rand
+	now      time.Duration
+	servers  []*simServer
+	table    *Table
+	revision int
+	// term is the number of the elected process.
+	term      int
+	processes map[int]*simProcess
+	queue     []delivery
+	// faulty is the share of orders, writes and answers that are lost or late.
+	faulty float64
+}
+
+func (h *history) after(wait time.Duration, do func()) {
+	h.queue = append(h.queue, delivery{at: h.now + wait, do: do})
+}
+
+func (h *history) fails() bool { return h.random.Float64() < h.faulty }
+
+func (h *history) delay(limit time.Duration) time.Duration {
+	return time.Duration(h.random.Int64N(int64(limit)))
+}
+
+// elect makes a new process the elected one. The one before it may go on renewing for the inherited time.
+func (h *history) elect() {
+	if old := h.processes[h.term]; old != nil {
+		old.until = h.now + h.delay(historySettings.Inherited)
+	}
+	h.term++
+	process := &simProcess{revision: h.revision, until: 1 << 62}
+	if h.table == nil {
+		process.assigner = NewAssigner(historySettings)
+	} else {
+		process.assigner = TakeOver(historySettings, h.table, h.now)
+	}
+	h.processes[h.term] = process
+}
+
+// record writes the table of a process. The store may execute the write later, if its conditions still hold.
+func (h *history) record(term int, p *simProcess) {
+	if p.writing || !p.assigner.Unrecorded() {
+		return
+	}
+	p.writing = true
+	table, sequence := p.assigner.Table(h.now)
+	value, err := table.Encode()
+	if err != nil {
+		panic(err)
+	}
+	condition := p.revision
+	write := func() bool {
+		if h.term != term || h.revision != condition {
+			return false
+		}
+		decoded, err := DecodeTable(value, historySettings.Keys)
+		if err != nil {
+			panic(err)
+		}
+		h.table = decoded
+		h.revision++
+		return true
+	}
+	if h.fails() {
+		// The answer is lost; the process reads the revision back and writes again.
+		if h.fails() {
+			h.after(h.delay(lateBy), func() { write() })
+		} else {
+			write()
+		}
+		h.after(200*time.Millisecond, func() { p.writing, p.revision = false, h.revision })
+		return
+	}
+	h.after(10*time.Millisecond, func() {
+		p.writing = false
+		if write() {
+			p.assigner.Recorded(sequence)
+		}
+		p.revision = h.revision
+	})
+}
+
+func (h *history) server(holder Holder) *simServer {
+	i := slices.IndexFunc(h.servers, func(s *simServer) bool { return s.holder.Same(holder) })
+	return h.servers[i]
+}
+
+// send delivers an order, or loses it, or its answer.
+func (h *history) send(p *simProcess, order Order) {
+	answer := func(err error, handover string) {
+		h.after(0, func() { p.assigner.Done(Result{Order: order, Err: err, Handover: handover, At: h.now}) })
+	}
+	timeout := func() {
+		h.after(historySettings.OrderTimeout, func() {
+			p.assigner.Done(Result{Order: order, Err: ErrNoAnswer, At: h.now})
+		})
+	}
+	if h.fails() && h.fails() {
+		timeout()
+		return
+	}
+	lost := h.fails()
+	if lost {
+		timeout()
+	}
+	h.after(h.delay(historySettings.OrderTimeout), func() {
+		err, handover := h.arrive(order, lost)
+		if !lost {
+			answer(err, handover)
+		}
+	})
+}
+
+// arrive lets a backend server execute an order. A lost one may take effect later, for a time that counts from now.
+func (h *history) arrive(order Order, lost bool) (error, string) {
+	if order.Kind == OrderRelease {
+		s := h.server(order.Release.Server)
+		if !s.up {
+			return ErrNoAnswer, ""
+		}
+		s.remove(order.Release.Keys)
+		return nil, fmt.Sprint("state of ", order.Release.Keys)
+	}
+	grant := order.Grant
+	s := h.server(grant.Server)
+	if !s.up {
+		return ErrNoAnswer, ""
+	}
+	if s.sawHigher(grant.Keys, grant.Token) {
+		return ErrHigherToken, ""
+	}
+	held := hold{keys: grant.Keys, token: grant.Token, until: h.now + grant.Hold + grant.Hold/50}
+	if lost && h.fails() {
+		h.after(h.delay(lateBy), func() {
+			if h.now < held.until {
+				s.apply(held)
+			}
+		})
+		return nil, ""
+	}
+	s.apply(held)
+	return nil, ""
+}
+
+// disturb does something random.
+func (h *history) disturb() {
+	p := h.processes[h.term]
+	switch h.random.IntN(12) {
+	case 0:
+		h.elect()
+	case 1:
+		s := h.servers[h.random.IntN(len(h.servers))]
+		if s.up {
+			h.restart(s)
+		}
+	default:
+		h.move(p)
+	}
+}
+
+// restart begins a new life of a backend server. The assigner may or may not learn it.
+func (h *history) restart(s *simServer) {
+	s.up = false
+	next := &simServer{
+		holder: Holder{ID: s.holder.ID, Born: s.holder.Born + 1, Addr: s.holder.Addr},
+		up:     true,
+		seen:   make(map[int]Token),
+	}
+	h.servers = append(h.servers, next)
+	for _, term := range slices.Sorted(maps.Keys(h.processes)) {
+		if p := h.processes[term]; h.random.IntN(2) == 0 {
+			p.assigner.Ended(s.holder)
+		}
+	}
+}
+
+// move gives a random part of a random row to a random server that is up.
+func (h *history) move(p *simProcess) {
+	table, _ := p.assigner.Table(h.now)
+	row := table.Rows[h.random.IntN(len(table.Rows))]
+	first := row.First + h.random.IntN(row.Count())
+	keys := Keys{First: first, Last: first + h.random.IntN(row.Last-first+1)}
+	if row.Moving {
+		keys = row.Keys
+	}
+	p.assigner.Apply([]Move{{Keys: keys, To: h.anyUp()}}, h.now)
+	p.assigner.Refresh(6)
+}
+
+func (h *history) anyUp() Holder {
+	for {
+		if s := h.servers[h.random.IntN(len(h.servers))]; s.up {
+			return s.holder
+		}
+	}
+}
+
+// step lets time pass and returns what is wrong.
+func (h *history) step() error {
+	h.now += historyStep
+	due := h.queue
+	h.queue = nil
+	for _, d := range due {
+		if d.at > h.now {
+			h.queue = append(h.queue, d)
+			continue
+		}
+		d.do()
+	}
+	for _, term := range slices.Sorted(maps.Keys(h.processes)) {
+		p := h.processes[term]
+		if h.now > p.until {
+			delete(h.processes, term)
+			continue
+		}
+		h.record(term, p)
+		for _, order := range p.assigner.Step(h.now) {
+			h.send(p, order)
+		}
+	}
+	return h.check()
+}
+
+func (h *history) check() error {
+	for key := range historySettings.Keys {
+		var owners []string
+		for _, s := range h.servers {
+			if s.owns(key, h.now) {
+				owners = append(owners, fmt.Sprintf("%s/%d", s.holder.ID, s.holder.Born))
+			}
+		}
+		if len(owners) > 1 {
+			return fmt.Errorf("at %v key %d is held by %v", h.now, key, owners)
+		}
+	}
+	return nil
+}
+
+// settle ends the disturbances, and gives keys whose owner is gone to another server.
+func (h *history) settle(t *rapid.T) {
+	h.faulty = 0
+	p := h.processes[h.term]
+	for range int(45 * time.Second / historyStep) {
+		table, _ := p.assigner.Table(h.now)
+		for _, row := range table.Rows {
+			if row.Owner.None() || !h.server(row.Owner).up {
+				p.assigner.Apply([]Move{{Keys: row.Keys, To: h.anyUp()}}, h.now)
+			}
+		}
+		p.assigner.Refresh(1 << 20)
+		if err := h.step(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for key := range historySettings.Keys {
+		row := h.table.Find(key)
+		if row.Moving || !h.server(row.Owner).owns(key, h.now) {
+			t.Fatalf("key %d is not held by its recorded owner: %+v", key, row)
+		}
+	}
+}
+
+// Guards against two owners of a key: orders that are lost or take effect up to 12 s late, writes whose answers are
+// lost or that are executed late, assigners that go on after another one was elected, and servers that start again.
+// Also guards against keys that stay without an owner.
+func TestRandomHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := &history{
+			random:    rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
+			processes: make(map[int]*simProcess),
+			faulty:    rapid.Float64Range(0, 0.5).Draw(t, "faulty"),
+		}
+		for i := range 4 {
+			h.servers = append(h.servers, &simServer{
+				holder: Holder{ID: fmt.Sprint("s", i), Addr: fmt.Sprint(i)}, up: true, seen: make(map[int]Token),
+			})
+		}
+		h.elect()
+		for range int(40 * time.Second / historyStep) {
+			if h.random.IntN(8) == 0 {
+				h.disturb()
+			}
+			if err := h.step(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		h.settle(t)
+	})
+}
--- a/internal/ownership/row.go
+++ b/internal/ownership/row.go
@@ -48,7 +48,7 @@
 	row := Row{Keys: r.keys, Owner: r.owner, Token: r.token, Moving: r.moving}
 	for _, g := range r.guards {
 		if !g.clear(now) {
-			row.Former = append(row.Former, FormerHolder{Holder: g.holder, Token: g.token})
+			row.Former = append(row.Former, FormerHolder{Holder: g.holder, Token: g.token, Unfenced: g.unfenced})
 		}
 	}
 	return row
@@ -95,5 +95,6 @@
 		token:          r.token,
 		heldUntil:      r.heldUntil,
 		unsettledUntil: r.unsettledUntil,
+		unfenced:       r.inherited,
 	})
 }
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -20,6 +20,9 @@
 type FormerHolder struct {
 	Holder
 	Token Token
+	// Unfenced is true if the holder has not answered a grant of the assigner that moved the keys away, so that one
+	// elected before may still renew them.
+	Unfenced bool
 }
 
 // Table is the recorded ownership of one service. Its rows are sorted and cover every key.
