dispatch: send nothing to an owner near the end of its drain time

Change: a gateway sends no request to an owner that has drained for all but 0.4 s of the drain time; a plan of which a move was left out is made again at once. The drain time is a setting.

--- a/internal/controller/assign.go
+++ b/internal/controller/assign.go
@@ -122,7 +122,10 @@
 	meter.Advance(c.Clock())
 	table, _ := a.assigner.Table(now)
 	moves := a.planner.Plan(table.Rows, candidates, meter, now)
-	moved := a.assigner.Apply(moves, now)
+	moved, all := a.assigner.Apply(moves, now)
+	if !all {
+		a.nextPlan = now
+	}
 	a.assigner.Refresh(rowsPerServer * len(candidates))
 	if moved > 0 {
 		c.Log.WithFields(logrus.Fields{
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -19,6 +19,8 @@
 type entry struct {
 	server    Server
 	coldUntil time.Duration
+	// drainingSince is when the server was first seen to drain.
+	drainingSince time.Duration
 	// lapsed is true once the entry vanished around an outage.
 	lapsed   bool
 	forgetAt time.Duration
@@ -28,6 +30,8 @@
 type Known struct {
 	Server
 	ColdUntil time.Duration
+	// DrainingSince is when the server was first seen to drain, if it does.
+	DrainingSince time.Duration
 }
 
 // New returns an empty directory.
@@ -40,7 +44,11 @@
 
 // Put adds or replaces an entry.
 func (d *Directory) Put(now time.Duration, server Server) {
-	d.entries[server.ID] = &entry{server: server, coldUntil: now + server.ColdLeft}
+	e := &entry{server: server, coldUntil: now + server.ColdLeft, drainingSince: now}
+	if last, known := d.entries[server.ID]; known && last.server.Draining && last.server.Incarnation() == server.Incarnation() {
+		e.drainingSince = last.drainingSince
+	}
+	d.entries[server.ID] = e
 }
 
 // Remove forgets an entry, after a grace if the store was away and the server may only have been unable to write.
@@ -63,7 +71,11 @@
 	for _, server := range servers {
 		listed[server.ID] = true
 		if e, ok := d.entries[server.ID]; ok && e.server.Incarnation() == server.Incarnation() {
+			wasDraining := e.server.Draining
 			e.server, e.lapsed = server, false
+			if !wasDraining {
+				e.drainingSince = now
+			}
 			continue
 		}
 		d.Put(now, server)
@@ -91,7 +103,7 @@
 func (d *Directory) Servers() []Known {
 	known := make([]Known, 0, len(d.entries))
 	for _, e := range d.entries {
-		known = append(known, Known{Server: e.server, ColdUntil: e.coldUntil})
+		known = append(known, Known{Server: e.server, ColdUntil: e.coldUntil, DrainingSince: e.drainingSince})
 	}
 	return known
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -21,6 +21,7 @@
 // Dispatcher is the traffic state of one gateway. It is safe for concurrent use.
 type Dispatcher struct {
 	zone  string
+	drain time.Duration
 	clock func() time.Duration
 	dial  func(addr string) *serverconn.Pool
 
@@ -31,10 +32,12 @@
 	pumping  bool
 }
 
-// New returns a dispatcher without backend servers. dial makes the connections to a backend server.
-func New(zone string, clock func() time.Duration, dial func(addr string) *serverconn.Pool) *Dispatcher {
+// New returns a dispatcher without backend servers. drain is how long a backend server that is about to leave takes
+// requests for keys that it still owns. dial makes the connections to a backend server.
+func New(zone string, drain time.Duration, clock func() time.Duration, dial func(addr string) *serverconn.Pool) *Dispatcher {
 	return &Dispatcher{
 		zone:     zone,
+		drain:    drain,
 		clock:    clock,
 		dial:     dial,
 		services: make(map[string]*service),
@@ -61,7 +64,7 @@
 	for name, described := range view.Services {
 		s := d.services[name]
 		if s == nil {
-			s = &service{movingSince: make(map[ownership.Token]time.Duration)}
+			s = &service{drain: d.drain, movingSince: make(map[ownership.Token]time.Duration)}
 			d.services[name] = s
 		}
 		s.sharded = described.Sharded
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -46,6 +46,14 @@
 	return s.others.Estimate(now, mean)
 }
 
+// drainMargin is how much earlier than allowed the last request is sent to a server that is about to leave.
+const drainMargin = 400 * time.Millisecond
+
+// drained reports whether the server has been about to leave for so long that it gets no more requests.
+func (s *server) drained(now, drain time.Duration) bool {
+	return s.known.Draining && now-s.known.DrainingSince > drain-drainMargin
+}
+
 // state returns what placing needs to know.
 func (s *server) state(now, meanWork time.Duration, meanOthers float64) placing.Server {
 	if s.fleetWork > 0 {
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -21,6 +21,8 @@
 // service is the traffic state of one service.
 type service struct {
 	sharded bool
+	// drain is how long a backend server that is about to leave takes requests.
+	drain   time.Duration
 	servers []*server
 	owners  *ownership.Table
 	// movingSince holds, by token, when this gateway first saw that a row moves.
@@ -121,6 +123,9 @@
 	if row.Token == demand.StaleToken && now < demand.RetryAt {
 		return choice{reason: ReasonMoving, wait: demand.RetryAt - now, work: mean}
 	}
+	if owner.drained(now, s.drain) {
+		return choice{reason: ReasonMoving, wait: s.moveWait(row.Token, now), work: mean}
+	}
 	state := owner.state(now, mean, s.meanOthers())
 	if state.Suspended {
 		return choice{reason: ReasonSuspended, wait: longMove, work: state.Work}
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -59,7 +59,7 @@
 	n := &Node{settings: settings, adapter: adapter, logs: logs, log: logs.Part("node"), started: time.Now()}
 	n.view.Store(&snapshot.Snapshot{})
 	dialer := ServerSilence.Dialer()
-	n.dispatcher = dispatch.New(settings.Zone, n.clock, func(addr string) *serverconn.Pool {
+	n.dispatcher = dispatch.New(settings.Zone, settings.ServerDrain, n.clock, func(addr string) *serverconn.Pool {
 		return serverconn.NewPool(addr, dialer, adapter.Headers, poolSettings)
 	})
 	n.controller = controller.New(n.controllerOptions())
--- a/internal/entrynode/settings.go
+++ b/internal/entrynode/settings.go
@@ -29,6 +29,8 @@
 	ShortestLease time.Duration
 	// ServerHeartbeat is how often backend servers write their entries.
 	ServerHeartbeat time.Duration
+	// ServerDrain is how long a backend server that is about to leave may get requests.
+	ServerDrain time.Duration
 	// RetryRatio, RetryWindow and RetrySlack bound the retries of all gateways together.
 	RetryRatio  float64
 	RetryWindow time.Duration
@@ -71,7 +73,8 @@
 	{"listen", "internal_ports", "7540,7555", "use the first and last port, separated by a comma", portRange},
 	{"store", "address", "", remedyAddress, addressPort(func(s *Settings) *string { return &s.Store })},
 	{"store", "shortest_lease_ms", "1000", remedyNumber, scaled(time.Millisecond, func(s *Settings) *time.Duration { return &s.ShortestLease })},
-	{"store", "server_heartbeat_ms", "1000", remedyNumber, scaled(time.Millisecond, func(s *Settings) *time.Duration { return &s.ServerHeartbeat })},
+	{"servers", "heartbeat_ms", "1000", remedyNumber, scaled(time.Millisecond, func(s *Settings) *time.Duration { return &s.ServerHeartbeat })},
+	{"servers", "drain_ms", "2000", remedyNumber, scaled(time.Millisecond, func(s *Settings) *time.Duration { return &s.ServerDrain })},
 	{"retries", "ratio", "0.1", remedyNumber, number(func(s *Settings) *float64 { return &s.RetryRatio })},
 	{"retries", "window_s", "10", remedyNumber, scaled(time.Second, func(s *Settings) *time.Duration { return &s.RetryWindow })},
 	{"retries", "slack", "20", remedyNumber, number(func(s *Settings) *float64 { return &s.RetrySlack })},
--- a/internal/ownership/guard.go
+++ b/internal/ownership/guard.go
@@ -13,8 +13,8 @@
 	unsettledUntil time.Duration
 	// unfenced is true if an assigner that was elected before may still renew the keys.
 	unfenced bool
-	released       bool
-	handover       string
+	released bool
+	handover string
 	// sending is true while a release is under way.
 	sending bool
 	nextTry time.Duration
--- a/internal/ownership/moves.go
+++ b/internal/ownership/moves.go
@@ -12,15 +12,17 @@
 }
 
 // Apply changes the owners of keys. Each move must lie within one row. Moves of rows with an order under way are
-// left out and planned again later. It returns the number of keys that change hands.
-func (a *Assigner) Apply(moves []Move, now time.Duration) int {
-	moved := 0
+// left out and planned again later. It returns the number of keys that change hands, and whether all moves were made.
+func (a *Assigner) Apply(moves []Move, now time.Duration) (moved int, all bool) {
+	all = true
 	for _, move := range moves {
 		if a.apply(move, now) {
 			moved += move.Keys.Count()
+		} else {
+			all = false
 		}
 	}
-	return moved
+	return moved, all
 }
 
 func (a *Assigner) apply(move Move, now time.Duration) bool {
