--- a/internal/controller/assign.go
+++ b/internal/controller/assign.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/sapphireplank/sapphireplank/internal/boottime"
 	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/kv"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
@@ -22,6 +23,8 @@
 	startSettle = 400 * time.Millisecond
 	// rowsPerServer is the number of rows per backend server above which neighbouring rows are joined.
 	rowsPerServer = 3
+	// planRest is the pause after a plan, in units of the time that it took: a slow host must keep time for renewals.
+	planRest = 5
 	// coldCapacity is the share of its capacity that a server has which has just started.
 	coldCapacity = 0.5
 	// unknownRunTime is assumed for all servers alike until there are measurements.
@@ -38,8 +41,10 @@
 	revision kv.Revision
 	writing  bool
 	nextPlan time.Duration
-	// lives are the candidates of the last plan.
-	lives []ownership.Holder
+	// restUntil is when the next plan may be made at the earliest.
+	restUntil time.Duration
+	// planned is the count of changes of backend servers that the last plan knew; 0 before the first plan.
+	planned int
 }
 
 // assign does what is due while this gateway is elected.
@@ -107,17 +112,17 @@
 
 // plan moves keys where that is necessary or worth it.
 func (c *Controller) plan(service string, a *assignment, now time.Duration) {
-	candidates := c.candidates(service)
-	lives := holders(candidates)
-	changed := !slices.Equal(lives, a.lives)
-	if now < a.nextPlan && (!changed || a.lives == nil) {
+	if now < a.restUntil || !c.election.Confirmed(now) || a.writing {
 		return
 	}
-	if !c.election.Confirmed(now) || a.writing {
+	if now < a.nextPlan && (c.serversChanged == a.planned || a.planned == 0) {
 		return
 	}
+	started := boottime.Now()
+	defer func() { a.restUntil = now + planRest*(boottime.Now()-started) }()
 	a.nextPlan = now + planEvery
-	a.lives = lives
+	a.planned = c.serversChanged
+	candidates := c.candidates(service)
 	meter := c.meter(service)
 	meter.Advance(c.Clock())
 	table, _ := a.assigner.Table(now)
@@ -136,47 +141,48 @@
 
 // candidates returns the backend servers of a service that may own keys, sorted by ID.
 func (c *Controller) candidates(service string) []ownership.Candidate {
-	var candidates []ownership.Candidate
-	works := c.hub.Works()
+	var servers []directory.Known
 	for _, known := range c.directory.Servers() {
-		if known.Service != service || known.Draining {
-			continue
+		if known.Service == service && !known.Draining {
+			servers = append(servers, known)
 		}
-		capacity := float64(known.Slots) / c.runTime(works, known).Seconds()
+	}
+	slices.SortFunc(servers, func(a, b directory.Known) int { return cmp.Compare(a.ID, b.ID) })
+	runTimes := c.runTimes(servers)
+	candidates := make([]ownership.Candidate, len(servers))
+	for i, known := range servers {
+		capacity := float64(known.Slots) / runTimes[i].Seconds()
 		if c.Clock() < known.ColdUntil {
 			capacity *= coldCapacity
 		}
-		candidates = append(candidates, ownership.Candidate{Holder: holder(known.Server), Capacity: capacity})
+		candidates[i] = ownership.Candidate{Holder: holder(known.Server), Capacity: capacity}
 	}
-	slices.SortFunc(candidates, func(a, b ownership.Candidate) int { return cmp.Compare(a.ID, b.ID) })
 	return candidates
 }
 
-// runTime returns how long requests run at a backend server. A server without measurements is taken as average.
-func (c *Controller) runTime(works map[uint32]relay.Work, known directory.Known) time.Duration {
-	work := works[relay.ServerHash(known.Incarnation())]
-	if work.Measurements >= fewMeasurements && work.Mean > 0 {
-		return work.Mean
-	}
-	total, count := time.Duration(0), time.Duration(0)
-	for _, other := range c.directory.Servers() {
-		if work := works[relay.ServerHash(other.Incarnation())]; other.Service == known.Service && work.Mean > 0 {
+// runTimes returns how long requests run at each backend server. A server without measurements is taken as average.
+func (c *Controller) runTimes(servers []directory.Known) []time.Duration {
+	works := c.hub.Works()
+	times := make([]time.Duration, len(servers))
+	total, count := time.Duration(0), 0
+	for i, known := range servers {
+		work := works[relay.ServerHash(known.Incarnation())]
+		if work.Measurements >= fewMeasurements && work.Mean > 0 {
+			times[i] = work.Mean
 			total += work.Mean
 			count++
 		}
 	}
-	if count == 0 {
-		return unknownRunTime
+	average := unknownRunTime
+	if count > 0 {
+		average = total / time.Duration(count)
 	}
-	return total / count
-}
-
-func holders(candidates []ownership.Candidate) []ownership.Holder {
-	list := make([]ownership.Holder, 0, len(candidates))
-	for _, candidate := range candidates {
-		list = append(list, candidate.Holder)
+	for i := range times {
+		if times[i] == 0 {
+			times[i] = average
+		}
 	}
-	return list
+	return times
 }
 
 // record writes the table if it has changed.
--- a/internal/controller/beats.go
+++ b/internal/controller/beats.go
@@ -33,6 +33,9 @@
 	loads     map[uint32]int
 	// contact is when the store last answered.
 	contact time.Duration
+	// full is all that the store held at fullAsOf, encoded.
+	full     relay.Message
+	fullAsOf kv.Revision
 }
 
 // beat sends what is due to the other gateways.
@@ -60,7 +63,7 @@
 		c.Traffic.SetWorks(works)
 		down.Works = relay.EncodeWorks(works)
 	}
-	c.server.Broadcast(down)
+	c.broadcast(down)
 }
 
 // spreadLoads sends the requests of all gateways at each backend server, if they have changed.
@@ -73,7 +76,7 @@
 		return
 	}
 	c.beats.loads = loads
-	c.server.Broadcast(&wire.RelayDown{HasLoad: true, Load: relay.EncodeLoads(loads)})
+	c.broadcast(&wire.RelayDown{HasLoad: true, Load: relay.EncodeLoads(loads)})
 }
 
 // takeOwnReports counts this gateway like the others.
@@ -108,14 +111,41 @@
 			session.Close()
 			return
 		}
-		down := &wire.RelayDown{Full: true, AsOf: int64(c.asOf)}
-		for _, item := range c.items {
-			down.Items = append(down.Items, relay.EncodeEvent(kv.Event{Item: item}))
+		if message, ok := c.everything(); ok {
+			session.Send(message)
 		}
-		session.Send(down)
 	})
 }
 
+// everything returns the message with all that the store holds. It is encoded again only after a change.
+func (c *Controller) everything() (relay.Message, bool) {
+	if c.beats.full != nil && c.beats.fullAsOf == c.asOf {
+		return c.beats.full, true
+	}
+	down := &wire.RelayDown{Full: true, AsOf: int64(c.asOf)}
+	for _, item := range c.items {
+		down.Items = append(down.Items, relay.EncodeEvent(kv.Event{Item: item}))
+	}
+	message, err := relay.Encode(down)
+	if err != nil {
+		c.Log.WithError(err).Error("what the store holds is not passed on; the other gateways follow the store")
+		return nil, false
+	}
+	c.beats.full, c.beats.fullAsOf = message, c.asOf
+	return message, true
+}
+
+// broadcast sends a message to all other gateways.
+func (c *Controller) broadcast(down *wire.RelayDown) {
+	message, err := relay.Encode(down)
+	if err != nil {
+		c.Log.WithError(err).Error("message not passed on; the other gateways follow the store")
+		c.server.CloseAll()
+		return
+	}
+	c.server.Broadcast(message)
+}
+
 // Reported implements relay.Receiver.
 func (c *Controller) Reported(host string, up *wire.RelayUp) {
 	c.hub.Report(host, up)
@@ -136,5 +166,5 @@
 	for _, event := range update {
 		down.Items = append(down.Items, relay.EncodeEvent(event))
 	}
-	c.server.Broadcast(down)
+	c.broadcast(down)
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -84,8 +84,10 @@
 	source   source
 	beats    beats
 	gateways gatewayCount
-	dirty    bool
-	stopping bool
+	// serversChanged counts changes of the backend servers, from 1.
+	serversChanged int
+	dirty          bool
+	stopping       bool
 }
 
 // New returns a controller that has not started.
@@ -101,6 +103,8 @@
 		assigners: make(map[string]*assignment),
 		meters:    make(map[string]*ownership.RateMeter),
 		items:     make(map[string]kv.Item),
+
+		serversChanged: 1,
 	}
 	c.server = relay.NewServer(c, options.Log)
 	return c
@@ -148,6 +152,7 @@
 	now := boottime.Now()
 	if c.directory.Expire(c.Clock()) {
 		c.dirty = true
+		c.serversChanged++
 	}
 	if c.stopping {
 		return
--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -37,6 +37,7 @@
 		return
 	}
 	c.asOf = update.AsOf
+	c.beats.full = nil
 	c.dirty = true
 	c.items = make(map[string]kv.Item, len(update.Items))
 	c.tables = make(map[string]*ownership.Table)
@@ -50,6 +51,7 @@
 		c.followItem(item)
 	}
 	c.directory.Replace(c.Clock(), servers)
+	c.serversChanged++
 	c.observeLeader(update.AsOf, c.items[election.Key])
 	if c.election.State() == election.StateLeading {
 		// What the others know may be missing changes too.
@@ -65,6 +67,7 @@
 			continue
 		}
 		fresh = append(fresh, event)
+		c.beats.full = nil
 		if event.Deleted {
 			delete(c.items, event.Key)
 		} else {
@@ -114,6 +117,7 @@
 
 // followServer takes a change of the entry of a backend server.
 func (c *Controller) followServer(id string, event kv.Event) {
+	c.serversChanged++
 	if event.Deleted {
 		c.directory.Remove(c.Clock(), id)
 		return
@@ -123,10 +127,8 @@
 		c.directory.Remove(c.Clock(), id)
 		return
 	}
-	for _, known := range c.directory.Servers() {
-		if known.ID == id && known.Born != server.Born {
-			c.ended(known.Server)
-		}
+	if known, ok := c.directory.Get(id); ok && known.Born != server.Born {
+		c.ended(known)
 	}
 	c.directory.Put(c.Clock(), server)
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -99,6 +99,15 @@
 	return changed
 }
 
+// Get returns the entry of an ID.
+func (d *Directory) Get(id string) (Server, bool) {
+	e, ok := d.entries[id]
+	if !ok {
+		return Server{}, false
+	}
+	return e.server, true
+}
+
 // Servers returns the known servers in no particular order.
 func (d *Directory) Servers() []Known {
 	known := make([]Known, 0, len(d.entries))
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -64,7 +64,7 @@
 	for name, described := range view.Services {
 		s := d.services[name]
 		if s == nil {
-			s = &service{drain: d.drain, movingSince: make(map[ownership.Token]time.Duration)}
+			s = newService(d.drain)
 			d.services[name] = s
 		}
 		s.sharded = described.Sharded
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -29,6 +30,15 @@
 	movingSince map[ownership.Token]time.Duration
 	work        placing.Work
 	waiting     []*waiter
+	random      *rand.Rand
+}
+
+func newService(drain time.Duration) *service {
+	return &service{
+		drain:       drain,
+		movingSince: make(map[ownership.Token]time.Duration),
+		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
 }
 
 // choice is the result of placing a request.
@@ -82,7 +92,7 @@
 			rate += float64(states[i].Slots) / states[i].Work.Seconds()
 		}
 	}
-	if i := placing.Choose(states, placing.Limits{Target: demand.Target}); i >= 0 {
+	if i := placing.Choose(states, placing.Limits{Target: demand.Target}, s.random); i >= 0 {
 		return choice{server: candidates[i], work: states[i].Work}
 	}
 	wait := longMove
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -201,7 +201,7 @@
 		TTL:       ttl,
 		KeepEvery: leaseKeep,
 		Stretch:   outageStretch,
-		Delay:     campaignDelay(s.Host),
+		Delay:     campaignDelay(s),
 	}
 }
 
@@ -232,16 +232,20 @@
 	return ownership.PlannerSettings{Keys: keys, Tolerance: 1.25, IdleBelow: 0.4, MaxMoves: 8, MinRate: 5}
 }
 
-// campaignDelay spreads the campaigns of the gateways.
-func campaignDelay(host string) time.Duration {
+// campaignDelay lets the hosts with the most processor time campaign first, because the elected gateway has the most
+// to do, and spreads the others.
+func campaignDelay(s *Settings) time.Duration {
 	sum := 0
-	for _, letter := range []byte(host) {
+	for _, letter := range []byte(s.Host) {
 		sum = (sum*31 + int(letter)) % campaignSteps
 	}
-	return time.Duration(sum) * campaignStep
+	weakness := 1 - min(s.Cores, 1)
+	return time.Duration(sum)*campaignStep + time.Duration(weakness*float64(weakestDelay))
 }
 
 const (
 	campaignSteps = 16
-	campaignStep  = 15 * time.Millisecond
+	campaignStep  = 6 * time.Millisecond
+	// weakestDelay is the delay of a host with hardly any processor time.
+	weakestDelay = 250 * time.Millisecond
 )
--- a/internal/entrynode/settings.go
+++ b/internal/entrynode/settings.go
@@ -18,6 +18,8 @@
 	Address string
 	// MemoryMB is the memory that the process may use.
 	MemoryMB int
+	// Cores is the processor time that the process may use, in cores.
+	Cores float64
 	// Callers is the address for requests, Readiness that for the balancer.
 	Callers   string
 	Readiness string
@@ -68,6 +70,7 @@
 	{"host", "zone", "", remedyName, text(func(s *Settings) *string { return &s.Zone })},
 	{"host", "address", "", "use an IP address", address(func(s *Settings) *string { return &s.Address })},
 	{"host", "memory_mb", "256", remedyNumber, whole(func(s *Settings) *int { return &s.MemoryMB })},
+	{"host", "cores", "1", remedyNumber, number(func(s *Settings) *float64 { return &s.Cores })},
 	{"listen", "callers", "", remedyAddress, addressPort(func(s *Settings) *string { return &s.Callers })},
 	{"listen", "readiness", "", remedyAddress, addressPort(func(s *Settings) *string { return &s.Readiness })},
 	{"listen", "internal_ports", "7540,7555", "use the first and last port, separated by a comma", portRange},
--- a/internal/ownership/draft.go
+++ b/internal/ownership/draft.go
@@ -100,6 +100,40 @@
 	}
 }
 
+// fillEmpty gives keys to servers that have none, however little the others have to do: a server that has joined
+// would learn of more load only after the others are too busy.
+func (d *draft) fillEmpty() {
+	mean := d.mean()
+	for _, to := range d.servers {
+		if len(to.rows) > 0 {
+			continue
+		}
+		from := d.busiest(nil)
+		row := from.largest(d)
+		if row < 0 {
+			return
+		}
+		keys := from.rows[row].Keys
+		wanted := min(mean*to.Capacity, d.rate(keys)/2)
+		piece := d.prefix(keys, wanted)
+		if piece == keys {
+			continue
+		}
+		d.take(from, row, piece, to)
+	}
+}
+
+// largest returns the index of the row with the highest rate that can be divided, or -1.
+func (s *draftServer) largest(d *draft) int {
+	best := -1
+	for i, row := range s.rows {
+		if !row.fixed && row.Count() > 1 && (best < 0 || d.rate(row.Keys) > d.rate(s.rows[best].Keys)) {
+			best = i
+		}
+	}
+	return best
+}
+
 // prefix returns the first keys of a range with about the given rate, and all of it if hardly anything is left.
 func (d *draft) prefix(keys Keys, rate float64) Keys {
 	limit := d.sums[keys.First] + rate
--- a/internal/ownership/evenout.go
+++ b/internal/ownership/evenout.go
@@ -20,7 +20,8 @@
 func (d *draft) evenOut() {
 	mean := d.mean()
 	skipped := make(map[*draftServer]bool)
-	for len(d.moves) < d.settings.MaxMoves {
+	limit := d.settings.MaxMoves * (1 + len(d.servers)/movesPer)
+	for len(d.moves) < limit {
 		from := d.busiest(skipped)
 		if from == nil || from.utilization() < mean*d.settings.Tolerance || from.utilization() < d.settings.IdleBelow {
 			return
--- a/internal/ownership/planner.go
+++ b/internal/ownership/planner.go
@@ -29,12 +29,15 @@
 	Tolerance float64
 	// IdleBelow is the utilization below which a server gives nothing away, however uneven the load is.
 	IdleBelow float64
-	// MaxMoves bounds the moves of one plan.
+	// MaxMoves bounds the moves of one plan, for each 32 servers or fewer.
 	MaxMoves int
 	// MinRate is the request rate assumed for all keys together, so that keys without requests are spread too.
 	MinRate float64
 }
 
+// movesPer is the number of servers for which MaxMoves holds.
+const movesPer = 32
+
 // NewPlanner returns a planner.
 func NewPlanner(settings PlannerSettings) *Planner { return &Planner{settings: settings} }
 
@@ -45,6 +48,7 @@
 	}
 	d := newDraft(p.settings, rows, candidates, load)
 	d.placeOrphans()
+	d.fillEmpty()
 	d.evenOut()
 	return d.moves
 }
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -4,7 +4,10 @@
 // of the others only from what servers and other gateways report, which is some time old.
 package placing
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // Server is what is known about a backend server when a request has to be placed.
 type Server struct {
@@ -71,9 +74,14 @@
 	return time.Duration(float64(plain) / (answered * answered))
 }
 
-// Choose returns the index of the server with the least expected finish among those with room that are not
-// suspended, or -1. If more than half of the servers are suspended, suspicion is not trusted and all count.
-func Choose(servers []Server, limits Limits) int {
+// Samples is how many servers of each distance are compared. Gateways that all chose the best of all servers would
+// send to the same one until they hear of each other's requests.
+const Samples = 2
+
+// Choose returns the index of a server with room, or -1. It takes the one with the least expected finish of a few that
+// are drawn at random, near and far. Servers that are suspended count only if
+// more than half of them are, because suspicion is not trusted then.
+func Choose(servers []Server, limits Limits, random *rand.Rand) int {
 	suspended := 0
 	for _, s := range servers {
 		if s.Suspended {
@@ -81,14 +89,31 @@
 		}
 	}
 	trusted := 2*suspended <= len(servers)
-	best := -1
+	var near, far []int
 	for i, s := range servers {
-		if s.Suspended && trusted || !s.HasRoom(limits) {
-			continue
+		switch {
+		case s.Suspended && trusted || !s.HasRoom(limits):
+		case s.Distance == 0:
+			near = append(near, i)
+		default:
+			far = append(far, i)
 		}
-		if best < 0 || s.Finish() < servers[best].Finish() {
+	}
+	drawn := append(draw(near, random), draw(far, random)...)
+	best := -1
+	for _, i := range drawn {
+		if best < 0 || servers[i].Finish() < servers[best].Finish() {
 			best = i
 		}
 	}
 	return best
 }
+
+// draw returns a few of the indices at random.
+func draw(indices []int, random *rand.Rand) []int {
+	for i := range min(Samples, len(indices)) {
+		j := i + random.IntN(len(indices)-i)
+		indices[i], indices[j] = indices[j], indices[i]
+	}
+	return indices[:min(Samples, len(indices))]
+}
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,17 +13,15 @@
 
 // ServerHash names a life of a backend server in messages.
 func ServerHash(life directory.Incarnation) uint32 {
-	digest := xxhash.New()
-	// Writing to a digest does not fail.
-	_, _ = digest.WriteString(life.ID)
-	var born [8]byte
-	for i := range born {
-		born[i] = byte(life.Born >> (8 * i))
-	}
-	_, _ = digest.Write(born[:])
-	return uint32(digest.Sum64())
+	name := make([]byte, 0, maxHashedBytes)
+	name = append(name, life.ID...)
+	name = binary.LittleEndian.AppendUint64(name, uint64(life.Born))
+	return uint32(xxhash.Sum64(name))
 }
 
+// maxHashedBytes is the usual length of an ID with its start; longer ones are hashed too.
+const maxHashedBytes = 64
+
 // EncodeLoads returns the message form of request counts.
 func EncodeLoads(loads map[uint32]int) *wire.ServerLoads {
 	message := &wire.ServerLoads{}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -52,19 +52,27 @@
 	// Host is the name of the gateway.
 	Host     string
 	conn     net.Conn
-	outgoing chan *wire.RelayDown
+	outgoing chan []byte
 	once     sync.Once
 }
 
 // Send queues a message. A gateway that does not read loses its connection and follows the store itself.
-func (s *Session) Send(down *wire.RelayDown) {
+func (s *Session) Send(message Message) {
 	select {
-	case s.outgoing <- down:
+	case s.outgoing <- message:
 	default:
 		s.Close()
 	}
 }
 
+// Message is an encoded message to other gateways.
+type Message []byte
+
+// Encode encodes a message once for all sessions that get it.
+func Encode(down *wire.RelayDown) (Message, error) {
+	return wire.AppendMessage(nil, wire.FrameRelay, down)
+}
+
 // Close ends the connection.
 func (s *Session) Close() {
 	s.once.Do(func() {
@@ -94,7 +102,7 @@
 const acceptPause = 50 * time.Millisecond
 
 func (s *Server) serve(conn net.Conn) {
-	session := &Session{conn: conn, outgoing: make(chan *wire.RelayDown, outgoingMessages)}
+	session := &Session{conn: conn, outgoing: make(chan []byte, outgoingMessages)}
 	defer session.Close()
 	reader := bufio.NewReader(conn)
 	hello, err := receive(conn, reader)
@@ -136,8 +144,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case down := <-s.outgoing:
-			if err := send(s.conn, down); err != nil {
+		case message := <-s.outgoing:
+			if err := send(s.conn, message); err != nil {
 				s.Close()
 				return
 			}
@@ -145,11 +153,12 @@
 	}
 }
 
-func send(conn net.Conn, down *wire.RelayDown) error {
+func send(conn net.Conn, message []byte) error {
 	if err := conn.SetWriteDeadline(time.Now().Add(messageTimeout)); err != nil {
 		return err
 	}
-	return wire.WriteMessage(conn, wire.FrameRelay, down)
+	_, err := conn.Write(message)
+	return err
 }
 
 func (s *Server) add(session *Session) {
@@ -165,11 +174,11 @@
 }
 
 // Broadcast queues a message for all gateways.
-func (s *Server) Broadcast(down *wire.RelayDown) {
+func (s *Server) Broadcast(message Message) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for session := range s.sessions {
-		session.Send(down)
+		session.Send(message)
 	}
 }
 
