entry: take no requests late in a stop

Change: 3 s after SIGTERM requests are answered with 503 and sent back by the caller to another gateway.

--- a/internal/entry/clientconn.go
+++ b/internal/entry/clientconn.go
@@ -93,7 +93,7 @@
 		}
 		c.server.running.Add(1)
 		c.pending <- r
-		go func() { r.answered <- c.server.handle(c.leave, r) }()
+		go func() { r.answered <- c.server.answer(c.leave, r) }()
 		if r.closeAfter {
 			c.watchLeave()
 			return
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -24,6 +24,7 @@
 	log    *logrus.Entry
 
 	draining atomic.Bool
+	refusing atomic.Bool
 	// running counts requests that are not answered yet.
 	running atomic.Int64
 
@@ -78,6 +79,20 @@
 // Drain lets each connection end after its next answer.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Refuse answers requests from now on without running them: they could not end before the process does.
+func (s *Server) Refuse() { s.refusing.Store(true) }
+
+// answer handles a request, unless the process is about to end.
+func (s *Server) answer(leave context.Context, r *request) *answer {
+	if s.refusing.Load() {
+		return notRun("gateway stops; send the request again", stoppingReturn)
+	}
+	return s.handle(leave, r)
+}
+
+// stoppingReturn is when a caller should come back that met a process about to end. Another gateway gets it then.
+const stoppingReturn = 20 * time.Millisecond
+
 // CloseIdle closes the connections without a request.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
--- a/internal/entrynode/stop.go
+++ b/internal/entrynode/stop.go
@@ -8,6 +8,8 @@
 const (
 	// notReadySeen is how long the balancer takes to send no new connections any more.
 	notReadySeen = 2500 * time.Millisecond
+	// lastRequestAfter is how long a stopping process takes requests. Later ones might not end in time.
+	lastRequestAfter = 3 * time.Second
 	// stopMargin is the part of the grace time that is left for the end of the process.
 	stopMargin = 300 * time.Millisecond
 	// stopPoll is how often a stopping process looks at its requests.
@@ -29,6 +31,9 @@
 	end := started.Add(n.settings.StopGrace - stopMargin)
 	for time.Now().Before(end) {
 		time.Sleep(stopPoll)
+		if time.Since(started) > lastRequestAfter {
+			n.server.Refuse()
+		}
 		if time.Since(started) < notReadySeen {
 			continue
 		}
