--- /dev/null
+++ b/internal/kv/kvtest/contract.go
@@ -0,0 +1,166 @@
+// Package kvtest is the contract suite that every implementation of kv.Store runs.
+package kvtest
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sapphireplank/sapphireplank/internal/kv"
+)
+
+// Backend is a store under test with what the tests do to it from outside.
+type Backend struct {
+	kv.Store
+	// Compact makes the store forget its history.
+	Compact func()
+}
+
+// leaseTTL is long enough for a test that renews a lease on a busy machine.
+const leaseTTL = 2 * time.Second
+
+// Run runs the suite. New returns an empty store.
+func Run(t *testing.T, newStore func(t *testing.T) Backend) {
+	for name, test := range map[string]func(*testing.T, Backend){
+		"conditions":  testConditions,
+		"all or none": testAllOrNone,
+		"list":        testList,
+		"watch":       testWatch,
+		"compacted":   testCompacted,
+		"lease":       testLease,
+	} {
+		t.Run(name, func(t *testing.T) { test(t, newStore(t)) })
+	}
+}
+
+func commit(t *testing.T, store kv.Store, txn kv.Txn) kv.Revision {
+	t.Helper()
+	revision, err := store.Commit(t.Context(), txn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return revision
+}
+
+func put(key, value string) kv.Txn { return kv.Txn{Puts: []kv.Put{{Key: key, Value: []byte(value)}}} }
+
+// testConditions guards against two processes that both take a key.
+func testConditions(t *testing.T, b Backend) {
+	txn := put("a", "1")
+	txn.Conditions = []kv.Condition{{Key: "a"}}
+	first := commit(t, b, txn)
+	if _, err := b.Commit(t.Context(), txn); !errors.Is(err, kv.ErrConflict) {
+		t.Fatalf("second creation: %v, want %v", err, kv.ErrConflict)
+	}
+	txn.Conditions[0].Revision = first
+	second := commit(t, b, txn)
+	item, err := b.Get(t.Context(), "a")
+	if err != nil || item.Revision != second || item.Created != first || second <= first {
+		t.Fatalf("item %+v, error %v; written at %d and %d", item, err, first, second)
+	}
+	if _, err := b.Get(t.Context(), "b"); !errors.Is(err, kv.ErrNotFound) {
+		t.Fatalf("missing key: %v, want %v", err, kv.ErrNotFound)
+	}
+}
+
+// testAllOrNone guards against a transaction of which a part is executed.
+func testAllOrNone(t *testing.T, b Backend) {
+	commit(t, b, put("a", "1"))
+	_, err := b.Commit(t.Context(), kv.Txn{
+		Conditions: []kv.Condition{{Key: "missing", Revision: 1}},
+		Puts:       []kv.Put{{Key: "b", Value: []byte("2")}},
+		Deletes:    []string{"a"},
+	})
+	if !errors.Is(err, kv.ErrConflict) {
+		t.Fatalf("error %v, want %v", err, kv.ErrConflict)
+	}
+	listing, err := b.List(t.Context(), "")
+	if err != nil || len(listing.Items) != 1 || listing.Items[0].Key != "a" {
+		t.Fatalf("items %+v, error %v", listing.Items, err)
+	}
+}
+
+// testList guards against pages that are left out.
+func testList(t *testing.T, b Backend) {
+	const count = 70
+	for i := range count {
+		commit(t, b, put(fmt.Sprintf("p/%02d", i), "x"))
+	}
+	commit(t, b, put("q", "x"))
+	listing, err := b.List(t.Context(), "p/")
+	if err != nil || len(listing.Items) != count {
+		t.Fatalf("%d items, error %v, want %d", len(listing.Items), err, count)
+	}
+	if listing.AsOf == 0 {
+		t.Fatal("listing does not say its revision")
+	}
+}
+
+// testWatch guards against changes that are missed between a listing and a watch, or between two watches.
+func testWatch(t *testing.T, b Backend) {
+	commit(t, b, put("p/a", "1"))
+	listing, err := b.List(t.Context(), "p/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	commit(t, b, put("p/b", "2"))
+	commit(t, b, put("other", "3"))
+	commit(t, b, kv.Txn{Deletes: []string{"p/a"}})
+	var events []kv.Event
+	for asOf := listing.AsOf; len(events) < 2; {
+		changes, err := b.Watch(t.Context(), "p/", asOf, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		events = append(events, changes.Events...)
+		asOf = changes.AsOf
+	}
+	if events[0].Key != "p/b" || string(events[0].Value) != "2" || events[1].Key != "p/a" || !events[1].Deleted {
+		t.Fatalf("events %+v", events)
+	}
+	changes, err := b.Watch(t.Context(), "p/", events[1].Revision, 10*time.Millisecond)
+	if err != nil || len(changes.Events) != 0 {
+		t.Fatalf("quiet watch returned %+v, error %v", changes, err)
+	}
+}
+
+// testCompacted guards against a watch that silently goes on after a gap.
+func testCompacted(t *testing.T, b Backend) {
+	first := commit(t, b, put("a", "1"))
+	commit(t, b, put("a", "2"))
+	b.Compact()
+	if _, err := b.Watch(t.Context(), "", first, time.Second); !errors.Is(err, kv.ErrCompacted) {
+		t.Fatalf("error %v, want %v", err, kv.ErrCompacted)
+	}
+}
+
+// testLease guards against keys that outlive their lease, and against writes under a lease that has ended.
+func testLease(t *testing.T, b Backend) {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	lease, err := b.GrantLease(ctx, leaseTTL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	txn := kv.Txn{Puts: []kv.Put{{Key: "a", Value: []byte("1"), Lease: lease}}}
+	asOf := commit(t, b, txn)
+	if err := b.KeepLease(ctx, lease); err != nil {
+		t.Fatal(err)
+	}
+	if err := b.EndLease(ctx, lease); err != nil {
+		t.Fatal(err)
+	}
+	changes, err := b.Watch(ctx, "", asOf, time.Second)
+	if err != nil || len(changes.Events) != 1 || !changes.Events[0].Deleted {
+		t.Fatalf("after the end of the lease: %+v, error %v", changes, err)
+	}
+	if err := b.KeepLease(ctx, lease); !errors.Is(err, kv.ErrLeaseNotFound) {
+		t.Fatalf("renewal: %v, want %v", err, kv.ErrLeaseNotFound)
+	}
+	if _, err := b.Commit(ctx, txn); !errors.Is(err, kv.ErrLeaseNotFound) {
+		t.Fatalf("write: %v, want %v", err, kv.ErrLeaseNotFound)
+	}
+}
--- /dev/null
+++ b/internal/kv/memory.go
@@ -0,0 +1,228 @@
+package kv
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Memory is a store in the memory of one process, for tests and for running a deployment on one machine.
+type Memory struct {
+	// mu protects the fields below.
+	mu       sync.Mutex
+	revision Revision
+	items    map[string]Item
+	history  []Event
+	// compacted is the revision up to which history was dropped.
+	compacted Revision
+	leases    map[LeaseID]*memoryLease
+	nextLease LeaseID
+	// changed is closed with each change.
+	changed chan struct{}
+}
+
+type memoryLease struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
+var _ Store = (*Memory)(nil)
+
+// NewMemory returns an empty store.
+func NewMemory() *Memory {
+	return &Memory{
+		revision:  1,
+		items:     make(map[string]Item),
+		leases:    make(map[LeaseID]*memoryLease),
+		nextLease: 1,
+		changed:   make(chan struct{}),
+	}
+}
+
+// List implements Store.
+func (m *Memory) List(ctx context.Context, prefix string) (Listing, error) {
+	if err := ctx.Err(); err != nil {
+		return Listing{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	listing := Listing{AsOf: m.revision}
+	for key, item := range m.items {
+		if strings.HasPrefix(key, prefix) {
+			listing.Items = append(listing.Items, item)
+		}
+	}
+	slices.SortFunc(listing.Items, func(a, b Item) int { return cmp.Compare(a.Key, b.Key) })
+	return listing, nil
+}
+
+// Watch implements Store.
+func (m *Memory) Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		changes, changed, err := m.since(prefix, after)
+		if err != nil || len(changes.Events) > 0 {
+			return changes, err
+		}
+		select {
+		case <-ctx.Done():
+			return Changes{}, ctx.Err()
+		case <-timer.C:
+			return changes, nil
+		case <-changed:
+		}
+	}
+}
+
+// since returns the events after a revision and a channel that is closed with the next change.
+func (m *Memory) since(prefix string, after Revision) (Changes, <-chan struct{}, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if after < m.compacted {
+		return Changes{}, nil, ErrCompacted
+	}
+	changes := Changes{AsOf: m.revision}
+	for _, event := range m.history {
+		if event.Revision > after && strings.HasPrefix(event.Key, prefix) {
+			changes.Events = append(changes.Events, event)
+		}
+	}
+	return changes, m.changed, nil
+}
+
+// Get implements Store.
+func (m *Memory) Get(ctx context.Context, key string) (Item, error) {
+	if err := ctx.Err(); err != nil {
+		return Item{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	item, ok := m.items[key]
+	if !ok {
+		return Item{}, ErrNotFound
+	}
+	return item, nil
+}
+
+// Commit implements Store.
+func (m *Memory) Commit(ctx context.Context, txn Txn) (Revision, error) {
+	if err := ctx.Err(); err != nil {
+		return 0, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, condition := range txn.Conditions {
+		if m.items[condition.Key].Revision != condition.Revision {
+			return 0, ErrConflict
+		}
+	}
+	for _, put := range txn.Puts {
+		if put.Lease != 0 && m.leases[put.Lease] == nil {
+			return 0, ErrLeaseNotFound
+		}
+	}
+	m.revision++
+	for _, put := range txn.Puts {
+		m.put(put)
+	}
+	for _, key := range txn.Deletes {
+		m.remove(key)
+	}
+	m.signal()
+	return m.revision, nil
+}
+
+func (m *Memory) put(put Put) {
+	item := Item{Key: put.Key, Value: slices.Clone(put.Value), Revision: m.revision, Created: m.revision, Lease: put.Lease}
+	if last, ok := m.items[put.Key]; ok {
+		item.Created = last.Created
+	}
+	m.items[put.Key] = item
+	m.history = append(m.history, Event{Item: item})
+}
+
+func (m *Memory) remove(key string) {
+	if _, ok := m.items[key]; !ok {
+		return
+	}
+	delete(m.items, key)
+	m.history = append(m.history, Event{Item: Item{Key: key, Revision: m.revision}, Deleted: true})
+}
+
+// signal wakes waiting watches.
+func (m *Memory) signal() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// GrantLease implements Store.
+func (m *Memory) GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	if err := ctx.Err(); err != nil {
+		return 0, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	id := m.nextLease
+	m.nextLease++
+	m.leases[id] = &memoryLease{ttl: ttl, timer: time.AfterFunc(ttl, func() { m.end(id) })}
+	return id, nil
+}
+
+// KeepLease implements Store.
+func (m *Memory) KeepLease(ctx context.Context, id LeaseID) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	lease := m.leases[id]
+	if lease == nil {
+		return ErrLeaseNotFound
+	}
+	lease.timer.Reset(lease.ttl)
+	return nil
+}
+
+// EndLease implements Store.
+func (m *Memory) EndLease(ctx context.Context, id LeaseID) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if !m.end(id) {
+		return ErrLeaseNotFound
+	}
+	return nil
+}
+
+// end removes a lease with its keys, and reports whether it was there.
+func (m *Memory) end(id LeaseID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	lease := m.leases[id]
+	if lease == nil {
+		return false
+	}
+	lease.timer.Stop()
+	delete(m.leases, id)
+	m.revision++
+	for key, item := range m.items {
+		if item.Lease == id {
+			m.remove(key)
+		}
+	}
+	m.signal()
+	return true
+}
+
+// Compact drops the history.
+func (m *Memory) Compact() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.history = nil
+	m.compacted = m.revision
+	m.signal()
+}
