--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,64 @@
+package admission
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func request(arrived, target, deadline time.Duration, priority int) Request {
+	return Request{Arrived: arrived, TargetAt: arrived + target, Deadline: arrived + deadline, Priority: priority}
+}
+
+// Guards against queues in which every request gets late, and against refusals of requests that can be in time.
+func TestMayWait(t *testing.T) {
+	r := request(0, 200*ms, 1200*ms, 0)
+	cases := []struct {
+		name string
+		now  time.Duration
+		wait time.Duration
+		may  bool
+	}{
+		{"in time", 0, 100 * ms, true},
+		{"late, but soon", 0, 200 * ms, true},
+		{"late, and long", 0, 400 * ms, false},
+		{"little time left", 1100 * ms, 50 * ms, false},
+		{"no time left", 1300 * ms, 0, false},
+	}
+	for _, c := range cases {
+		if may := MayWait(r, c.now, c.wait, 60*ms); may != c.may {
+			t.Errorf("%s: %v, want %v", c.name, may, c.may)
+		}
+	}
+}
+
+// Guards against a more urgent request that does worse than a less urgent one, and against late requests that make
+// those late that could still be in time.
+func TestBefore(t *testing.T) {
+	const now = 500 * ms
+	urgent := request(490*ms, 200*ms, time.Second, 0)
+	fresh := request(450*ms, 200*ms, time.Second, 1)
+	fresher := request(480*ms, 200*ms, time.Second, 1)
+	late := request(100*ms, 200*ms, time.Second, 1)
+	got := []Request{late, fresher, fresh, urgent}
+	slices.SortFunc(got, func(a, b Request) int {
+		if Before(a, b, now, 60*ms) {
+			return -1
+		}
+		return 1
+	})
+	if want := []Request{urgent, fresh, fresher, late}; !slices.Equal(got, want) {
+		t.Fatalf("order %v", got)
+	}
+}
+
+// Guards against callers that are asked to come back at once, or too late to be served.
+func TestReturnAfter(t *testing.T) {
+	for wait, want := range map[time.Duration]time.Duration{0: shortestReturn, 300 * ms: 300 * ms, time.Hour: longestReturn} {
+		if got := ReturnAfter(wait); got != want {
+			t.Errorf("wait %v: return after %v, want %v", wait, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entrynode/settings_test.go
@@ -0,0 +1,63 @@
+package entrynode
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const goodSettings = `[host]
+name = h1
+zone = z
+address = 10.0.0.1
+[listen]
+callers = 10.0.0.1:80
+readiness = 10.0.0.1:81
+internal_ports = 7380,7395
+[store]
+address = 10.0.0.9:90
+[retries]
+ratio = 0.25
+[stop]
+grace_s = 6
+`
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.ini")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestReadSettings(t *testing.T) {
+	settings, err := ReadSettings(write(t, goodSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if settings.InternalPorts != [2]int{7380, 7395} || settings.RetryRatio != 0.25 || settings.StopGrace != 6*time.Second {
+		t.Errorf("settings %+v", settings)
+	}
+	if settings.LongestGrant != 10*time.Second {
+		t.Errorf("longest grant %v, want the default", settings.LongestGrant)
+	}
+}
+
+// Guards against a process that starts with a wrong setting, and against messages that name only the first one.
+func TestSettingFaults(t *testing.T) {
+	text := strings.NewReplacer("ratio = 0.25", "ratio = many", "name = h1", "name =", "callers = 10.0.0.1:80", "callers = here").Replace(goodSettings)
+	_, err := ReadSettings(write(t, text))
+	if !errors.Is(err, ErrSetting) {
+		t.Fatalf("error %v, want %v", err, ErrSetting)
+	}
+	for _, part := range []string{"[host] name", "[listen] callers", "[retries] ratio", remedyAddress} {
+		if !strings.Contains(err.Error(), part) {
+			t.Errorf("message does not name %q: %v", part, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/placing/placing_test.go
@@ -0,0 +1,126 @@
+package placing
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const work = 60 * time.Millisecond
+
+func idle() Server { return Server{Slots: 3, Work: work} }
+
+// Guards against a server that is filled past its queue, where some servers never answer, and against a queue that
+// makes every request late.
+func TestHasRoom(t *testing.T) {
+	cases := []struct {
+		name   string
+		own    int
+		others float64
+		target time.Duration
+		room   bool
+	}{
+		{"idle", 0, 0, 200 * time.Millisecond, true},
+		{"all slots busy", 3, 0, 200 * time.Millisecond, true},
+		{"the latency objective would be missed", 2, 7, 200 * time.Millisecond, false},
+		{"a long objective does not fill the queue", 4, 5, time.Minute, false},
+		{"a short objective leaves some room", 3, 0, time.Millisecond, true},
+		{"no more than that", 4, 0, time.Millisecond, false},
+	}
+	for _, c := range cases {
+		s := idle()
+		s.Own, s.Others = c.own, c.others
+		if room := s.HasRoom(Limits{Target: c.target}); room != c.room {
+			t.Errorf("%s: room %v, want %v", c.name, room, c.room)
+		}
+	}
+}
+
+// Guards against requests for suspended servers, and against so many suspects that the rest is overloaded.
+func TestChooseSuspended(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	limits := Limits{Target: time.Second}
+	servers := []Server{idle(), idle(), idle(), idle()}
+	servers[0].Suspended, servers[1].Suspended = true, true
+	for range 50 {
+		if i := Choose(servers, limits, random); i < 2 {
+			t.Fatalf("suspended server %d was chosen", i)
+		}
+	}
+	servers[2].Suspended = true
+	chosen := make(map[int]bool)
+	for range 200 {
+		chosen[Choose(servers, limits, random)] = true
+	}
+	if len(chosen) != 4 {
+		t.Fatalf("with most servers suspended, %d of 4 were chosen", len(chosen))
+	}
+}
+
+// Guards against gateways that all send to the same server until they hear of each other: with loads that are one
+// round old, the busiest of 100 servers must stay below what fits into its queue.
+func TestChooseWithOldLoads(t *testing.T) {
+	random := rand.New(rand.NewPCG(2, 2))
+	const count, gateways = 100, 70
+	loads := make([]float64, count)
+	for round := range 200 {
+		added := make([]float64, count)
+		for request := range gateways * 2 {
+			servers := make([]Server, count)
+			for i := range servers {
+				servers[i] = idle()
+				servers[i].Others = loads[i]
+				servers[i].Distance = 5 * time.Millisecond
+				if i%4 == request%4 {
+					servers[i].Distance = 0
+				}
+			}
+			if i := Choose(servers, Limits{Target: 4 * work}, random); i >= 0 {
+				added[i]++
+			}
+		}
+		for i := range loads {
+			if loads[i]+added[i] > 15 {
+				t.Fatalf("server %d has %v requests in round %d", i, loads[i]+added[i], round)
+			}
+			loads[i] = max(0, loads[i]+added[i]-1.6)
+		}
+	}
+}
+
+// Guards against a grey server that is preferred because its failures are quick, and against far servers that are
+// preferred over equal near ones.
+func TestFinish(t *testing.T) {
+	grey, far := idle(), idle()
+	grey.Work, grey.FailureShare = work/2, 0.5
+	far.Distance = 5 * time.Millisecond
+	if grey.Finish() <= idle().Finish() || far.Finish() <= idle().Finish() {
+		t.Fatalf("grey %v, far %v, idle %v", grey.Finish(), far.Finish(), idle().Finish())
+	}
+}
+
+// Guards against an old report that counts like a new one, and against own requests that are counted as others'.
+func TestOthers(t *testing.T) {
+	var o Others
+	if got := o.Estimate(0, 2.5); got != 2.5 {
+		t.Errorf("unknown server: %v, want the mean", got)
+	}
+	o.Report(7, 2, time.Second)
+	if got := o.Estimate(time.Second, 0); got != 5 {
+		t.Errorf("fresh report: %v, want 5", got)
+	}
+	if got := o.Estimate(time.Minute, 1); got > 1.1 {
+		t.Errorf("old report: %v, want about the mean of 1", got)
+	}
+}
+
+// Guards against a server that counts as slow because its requests waited.
+func TestWork(t *testing.T) {
+	var w Work
+	for range 50 {
+		w.Measure(120*time.Millisecond, 1)
+	}
+	if got := w.Expected(time.Second); got < 55*time.Millisecond || got > 150*time.Millisecond {
+		t.Fatalf("expected run time %v, want about 60 ms and a little of the service's mean", got)
+	}
+}
