entrynode, entry, logging, observe: SIGHUP, metrics and the trail of a request

Change: SIGHUP, and a changed file without a signal, put the settings in force that a running process can change. The decisions about a request are kept with it and logged if it ends badly, or for one good request in 128; lines never wait for the output; metrics are served on the port of the settings.

--- a/internal/controller/assign.go
+++ b/internal/controller/assign.go
@@ -138,6 +138,7 @@
 		a.nextPlan = now
 	}
 	a.assigner.Refresh(rowsPerServer * len(candidates))
+	c.Metrics.Moved(moved)
 	if moved > 0 {
 		c.Log.WithFields(logrus.Fields{
 			"service": service, "moves": len(moves), "keys": moved, "servers": len(candidates),
--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -152,16 +152,21 @@
 		result.Err = c.Orders.Grant(ctx, order.Grant)
 	}
 	result.At = boottime.Now()
+	c.Metrics.Order(orderNames[order.Kind], result.Err)
 	return result
 }
 
+// orderNames are the names of orders in metrics and logs.
+var orderNames = map[ownership.OrderKind]string{
+	ownership.OrderGrant: "grant", ownership.OrderRelease: "release", ownership.OrderFence: "fence",
+}
+
 func (c *Controller) logOrder(service string, result ownership.Result) {
-	entry := c.Log.WithError(result.Err).WithField("service", service)
+	server, keys, token := result.Order.Grant.Server, result.Order.Grant.Keys, result.Order.Grant.Token
 	if result.Order.Kind == ownership.OrderRelease {
-		release := result.Order.Release
-		entry.WithFields(logrus.Fields{"server": release.Server.ID, "keys": release.Keys, "token": release.Token}).Info("release failed")
-		return
+		server, keys, token = result.Order.Release.Server, result.Order.Release.Keys, result.Order.Release.Token
 	}
-	grant := result.Order.Grant
-	entry.WithFields(logrus.Fields{"server": grant.Server.ID, "keys": grant.Keys, "token": grant.Token}).Info("grant failed")
+	c.Log.WithError(result.Err).WithFields(logrus.Fields{
+		"service": service, "order": orderNames[result.Order.Kind], "server": server.ID, "keys": keys, "token": token,
+	}).Info("order failed")
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -12,6 +12,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/election"
 	"github.com/sapphireplank/sapphireplank/internal/kv"
+	"github.com/sapphireplank/sapphireplank/internal/observe"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
 	"github.com/sapphireplank/sapphireplank/internal/relay"
 	"github.com/sapphireplank/sapphireplank/internal/routing"
@@ -37,6 +38,7 @@
 	Ownership ownership.Settings
 	Planner   ownership.PlannerSettings
 	Log       *logrus.Entry
+	Metrics   *observe.Metrics
 }
 
 // Traffic is the part of the process that carries requests, as the control goroutine sees it.
@@ -87,7 +89,9 @@
 	// serversChanged counts changes of the backend servers, from 1.
 	serversChanged int
 	dirty          bool
-	stopping       bool
+	// stateShown is when the metrics were last updated.
+	stateShown time.Duration
+	stopping   bool
 }
 
 // New returns a controller that has not started.
@@ -167,8 +171,34 @@
 		c.assign(ctx, now)
 		c.beat()
 	}
+	c.showState()
 }
 
+// showState puts what this gateway believes into the metrics, from time to time.
+func (c *Controller) showState() {
+	now := c.Clock()
+	if now < c.stateShown+showStateEvery {
+		return
+	}
+	c.stateShown = now
+	state := observe.State{
+		Leading:    c.election.State() == election.StateLeading,
+		Servers:    len(c.directory.Servers()),
+		Gateways:   c.gateways.value(now),
+		ContactAge: now - max(c.beats.contact, c.source.freshAt),
+	}
+	if c.config != nil {
+		state.Version = c.config.Version
+	}
+	for _, table := range c.tables {
+		state.Rows += len(table.Rows)
+	}
+	c.Metrics.SetState(state)
+}
+
+// showStateEvery is the time between two updates of the metrics.
+const showStateEvery = time.Second
+
 // noteElection ends what only the elected gateway does, if this one was and no longer is.
 func (c *Controller) noteElection(before string) {
 	if before != election.StateLeading || c.election.State() == election.StateLeading {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -45,6 +45,16 @@
 	}
 }
 
+// SetDrain changes how long a backend server that is about to leave takes requests.
+func (d *Dispatcher) SetDrain(drain time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.drain = drain
+	for _, s := range d.services {
+		s.drain = drain
+	}
+}
+
 // waiter is a request that waits for room.
 type waiter struct {
 	demand *Demand
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -49,3 +49,16 @@
 		s.fleetWork = works[s.hash].Mean
 	}
 }
+
+// Suspects returns the number of backend servers that get no requests after silent or lost ones.
+func (d *Dispatcher) Suspects() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	count := 0
+	for _, s := range d.servers {
+		if s.record.Suspended(d.clock()) {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/dispatch/ticket.go
+++ b/internal/dispatch/ticket.go
@@ -18,6 +18,11 @@
 	Token ownership.Token
 	// Pool has the connections to the server.
 	Pool *serverconn.Pool
+	// Own and Others are the requests of this gateway and, as far as it knows, of others at the server when the
+	// request was placed. OthersAge is how old that knowledge was.
+	Own       int
+	Others    float64
+	OthersAge time.Duration
 	// Expected is how long the answer is expected to take.
 	Expected time.Duration
 
@@ -44,15 +49,20 @@
 	state := c.server.state(now, c.work, s.meanOthers())
 	wait := state.Wait()
 	c.server.own++
+	othersAt := max(c.server.fleetAt, c.server.others.At())
 	return &Ticket{
-		Server:   c.server.known.Server,
-		Token:    c.token,
-		Pool:     c.server.pool,
-		Expected: state.Distance + wait + c.work,
-		server:   c.server,
-		service:  s,
-		sentAt:   now,
-		waited:   float64(wait) / float64(max(1, c.work)),
+		Server: c.server.known.Server,
+		Token:  c.token,
+		Pool:   c.server.pool,
+		Own:    state.Own,
+		Others: state.Others,
+
+		OthersAge: now - othersAt,
+		Expected:  state.Distance + wait + c.work,
+		server:    c.server,
+		service:   s,
+		sentAt:    now,
+		waited:    float64(wait) / float64(max(1, c.work)),
 	}
 }
 
--- a/internal/entry/budgets.go
+++ b/internal/entry/budgets.go
@@ -22,6 +22,16 @@
 	return &Budgets{limits: limits, clock: clock, services: make(map[string]*retry.Window)}
 }
 
+// SetLimits changes the limits. What was counted stays counted.
+func (b *Budgets) SetLimits(limits retry.WindowLimits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits = limits
+	for _, window := range b.services {
+		window.SetLimits(limits)
+	}
+}
+
 // Request counts the first send of a request.
 func (b *Budgets) Request(service string) {
 	b.mu.Lock()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -18,6 +18,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/exchange"
 	"github.com/sapphireplank/sapphireplank/internal/logging"
 	"github.com/sapphireplank/sapphireplank/internal/netdial"
+	"github.com/sapphireplank/sapphireplank/internal/observe"
 	"github.com/sapphireplank/sapphireplank/internal/retry"
 	"github.com/sapphireplank/sapphireplank/internal/routing"
 	"github.com/sapphireplank/sapphireplank/internal/serverconn"
@@ -133,6 +134,7 @@
 		Silence:    silence,
 		Stopping:   func() bool { return false },
 		Log:        logging.Discard().Part("entry"),
+		Metrics:    observe.New(),
 	})
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -397,6 +399,7 @@
 			Clock:    func() time.Duration { return 0 },
 			Budgets:  NewBudgets(retry.WindowLimits{Window: time.Minute}, func() time.Duration { return 0 }),
 			Stopping: func() bool { return false },
+			Metrics:  observe.New(),
 		}}
 		route := &routing.Route{Name: "read", Idempotent: true, MaxAttempts: 2, Target: time.Millisecond}
 		forwarding := &forward{handler: handler, route: route, gateway: 1}
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sirupsen/logrus"
 
 	"github.com/sapphireplank/sapphireplank/internal/admission"
 	"github.com/sapphireplank/sapphireplank/internal/dispatch"
@@ -57,17 +56,8 @@
 	if refusal.Reason == dispatch.ReasonLeft {
 		return &answer{status: statusAbandoned}
 	}
-	f.handler.Log.WithFields(logrus.Fields{
-		"id":      f.call.ID,
-		"route":   f.route.Name,
-		"service": f.demand.Service,
-		"key":     f.demand.Key,
-		"reason":  refusal.Reason,
-		"wait":    refusal.Wait,
-		"left":    f.left(),
-		"held":    f.handler.Clock() - f.arrived,
-		"sends":   f.sends,
-	}).Info("request refused")
+	f.handler.Metrics.Refused(string(refusal.Reason))
+	f.note(step{what: stepRefused, refusal: refusal})
 	if f.mayHaveRun {
 		return f.final()
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -5,9 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"github.com/sirupsen/logrus"
-
 	"github.com/sapphireplank/sapphireplank/internal/dispatch"
 	"github.com/sapphireplank/sapphireplank/internal/exchange"
 	"github.com/sapphireplank/sapphireplank/internal/routing"
@@ -39,6 +36,9 @@
 	demand  dispatch.Demand
 	arrived time.Duration
 	gateway int
+	// configVersion is that of the configuration by which the request was routed.
+	configVersion uint64
+	trail         trail
 
 	// sends counts the sends that a backend server may have seen.
 	sends int
@@ -54,17 +54,28 @@
 	granted bool
 }
 
-// run sends the request until there is an answer to return.
+// run handles the request and logs the decisions about it.
 func (f *forward) run(leave context.Context) *answer {
+	f.note(step{what: stepRouted})
+	a := f.answer(leave)
+	f.finish(a)
+	return a
+}
+
+// answer sends the request until there is an answer to return.
+func (f *forward) answer(leave context.Context) *answer {
 	h := f.handler
 	if f.demand.HasKey && h.Requested != nil {
 		h.Requested(f.demand.Service, f.demand.Key)
 	}
 	for {
-		ticket, err := f.handler.Dispatcher.Acquire(leave, &f.demand)
+		asked := h.Clock()
+		ticket, err := h.Dispatcher.Acquire(leave, &f.demand)
+		h.Metrics.Waited(h.Clock() - asked)
 		if err != nil {
 			return f.refused(err)
 		}
+		f.note(step{what: stepPlaced, ticket: ticket})
 		if leave.Err() != nil {
 			f.handler.Dispatcher.Done(ticket, dispatch.Result{})
 			return &answer{status: statusAbandoned}
@@ -83,6 +94,7 @@
 		if a := f.next(); a != nil {
 			return a
 		}
+		f.note(step{what: stepAgain})
 	}
 }
 
@@ -155,31 +167,8 @@
 			f.handler.Refused(f.demand.Service, f.demand.Key, ticket.Server.ID)
 		}
 	}
-	if v != verdictAnswer {
-		f.log(ticket, err, started)
-	}
-}
-
-func (f *forward) log(ticket *dispatch.Ticket, err error, started time.Duration) {
-	entry := f.handler.Log.WithFields(logrus.Fields{
-		"id":      f.call.ID,
-		"route":   f.route.Name,
-		"service": f.demand.Service,
-		"server":  ticket.Server.ID,
-		"verdict": f.lastVerdict,
-		"took":    f.handler.Clock() - started,
-		"left":    f.left(),
-	})
-	if err != nil {
-		entry = entry.WithField("error", errors.Unwrap(err))
-	}
-	if f.demand.HasKey {
-		entry = entry.WithFields(logrus.Fields{"key": f.demand.Key, "token": ticket.Token})
-	}
-	if f.last != nil {
-		entry = entry.WithField("status", f.last.Status)
-	}
-	entry.Info("request has no good answer")
+	f.handler.Metrics.Sent(v.String())
+	f.note(step{what: stepSent, ticket: ticket, verdict: v, answer: f.last, err: err, took: f.handler.Clock() - started})
 }
 
 // next returns the answer to the caller, or nil if the request is sent again.
@@ -212,7 +201,14 @@
 		f.granted = false
 		return true
 	}
-	return f.handler.Budgets.Take(f.demand.Service, f.gateway)
+	return f.takeRetry()
+}
+
+// takeRetry asks the retry budget for one more send.
+func (f *forward) takeRetry() bool {
+	granted := f.handler.Budgets.Take(f.demand.Service, f.gateway)
+	f.handler.Metrics.Retry(granted)
+	return granted
 }
 
 // deliver returns the backend server's answer.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -11,6 +12,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/dispatch"
 	"github.com/sapphireplank/sapphireplank/internal/exchange"
 	"github.com/sapphireplank/sapphireplank/internal/netdial"
+	"github.com/sapphireplank/sapphireplank/internal/observe"
 	"github.com/sapphireplank/sapphireplank/internal/routing"
 	"github.com/sapphireplank/sapphireplank/internal/snapshot"
 )
@@ -38,6 +40,7 @@
 	// Stopping reports whether the process is about to end.
 	Stopping func() bool
 	Log      *logrus.Entry
+	Metrics  *observe.Metrics
 	// Refused is told of each request that the recorded owner of its key refused.
 	Refused func(service string, key int, owner string)
 	// Requested is told of each request for a key of a sharded service.
@@ -48,6 +51,8 @@
 type Handler struct {
 	Options
 	splitter *routing.Splitter
+	// answered counts good answers, of which a sample is logged.
+	answered atomic.Int64
 }
 
 // New returns a server for callers.
@@ -121,6 +126,8 @@
 		call:    call,
 		arrived: arrived,
 		gateway: view.Gateways,
+
+		configVersion: view.Routes.Config().Version,
 	}
 	f.demand = dispatch.Demand{
 		Service: h.splitter.Next(route),
--- a/internal/entry/patience.go
+++ b/internal/entry/patience.go
@@ -29,7 +29,7 @@
 	p.timer = time.AfterFunc(limit, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		if p.stopped || f.handler.Stopping() || !f.handler.Budgets.Take(f.demand.Service, f.gateway) {
+		if p.stopped || f.handler.Stopping() || !f.takeRetry() {
 			return
 		}
 		f.granted = true
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -21,9 +21,9 @@
 	"github.com/sapphireplank/sapphireplank/internal/kv"
 	"github.com/sapphireplank/sapphireplank/internal/logging"
 	"github.com/sapphireplank/sapphireplank/internal/netdial"
+	"github.com/sapphireplank/sapphireplank/internal/observe"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
 	"github.com/sapphireplank/sapphireplank/internal/relay"
-	"github.com/sapphireplank/sapphireplank/internal/retry"
 	"github.com/sapphireplank/sapphireplank/internal/serverconn"
 	"github.com/sapphireplank/sapphireplank/internal/snapshot"
 )
@@ -42,40 +42,46 @@
 
 // Node is one gateway process.
 type Node struct {
-	settings   *Settings
+	settings   atomic.Pointer[Settings]
 	adapter    Adapter
 	logs       *logging.Logs
+	metrics    *observe.Metrics
 	log        *logrus.Entry
 	started    time.Time
 	view       atomic.Pointer[snapshot.Snapshot]
 	dispatcher *dispatch.Dispatcher
 	controller *controller.Controller
+	budgets    *entry.Budgets
 	server     *entry.Server
 	stopping   atomic.Bool
 }
 
 // New returns a node that has not started.
-func New(settings *Settings, adapter Adapter, logs *logging.Logs) *Node {
-	n := &Node{settings: settings, adapter: adapter, logs: logs, log: logs.Part("node"), started: time.Now()}
+func New(settings *Settings, adapter Adapter, logs *logging.Logs, metrics *observe.Metrics) *Node {
+	adapter.Store = observe.NewStore(adapter.Store, metrics)
+	n := &Node{
+		adapter: adapter, logs: logs, metrics: metrics, log: logs.Part("node"), started: time.Now(),
+	}
+	n.settings.Store(settings)
 	n.view.Store(&snapshot.Snapshot{})
+	n.budgets = entry.NewBudgets(retryLimits(settings), n.clock)
 	dialer := ServerSilence.Dialer()
 	n.dispatcher = dispatch.New(settings.Zone, settings.ServerDrain, n.clock, func(addr string) *serverconn.Pool {
 		return serverconn.NewPool(addr, dialer, adapter.Headers, poolSettings)
 	})
-	n.controller = controller.New(n.controllerOptions())
+	n.controller = controller.New(n.controllerOptions(settings))
 	n.server = entry.New(entry.Options{
 		View:       n.view.Load,
 		Clock:      n.clock,
 		Dispatcher: n.dispatcher,
 		Headers:    adapter.Headers,
-		Budgets: entry.NewBudgets(retry.WindowLimits{
-			Window: settings.RetryWindow, Ratio: settings.RetryRatio, Slack: settings.RetrySlack,
-		}, n.clock),
-		Silence:   callerSilence,
-		Stopping:  n.stopping.Load,
-		Log:       logs.Part("entry"),
-		Refused:   n.controller.Refused,
-		Requested: n.requested,
+		Budgets:    n.budgets,
+		Silence:    callerSilence,
+		Stopping:   n.stopping.Load,
+		Log:        logs.Part("entry"),
+		Metrics:    metrics,
+		Refused:    n.controller.Refused,
+		Requested:  n.requested,
 	})
 	return n
 }
@@ -90,9 +96,9 @@
 	}
 }
 
-func (n *Node) controllerOptions() controller.Options {
+func (n *Node) controllerOptions(settings *Settings) controller.Options {
 	return controller.Options{
-		Host:      n.settings.Host,
+		Host:      settings.Host,
 		Addr:      n.relayAddr(),
 		Store:     n.adapter.Store,
 		Sources:   n.adapter.Sources,
@@ -100,16 +106,18 @@
 		Clock:     n.clock,
 		Dialer:    ServerSilence.Dialer(),
 		Traffic:   traffic{n},
-		Election:  electionSettings(n.settings),
-		Ownership: ownershipSettings(n.settings, n.adapter.Keys),
+		Election:  electionSettings(settings),
+		Ownership: ownershipSettings(settings, n.adapter.Keys),
 		Planner:   plannerSettings(n.adapter.Keys),
 		Log:       n.logs.Part("control"),
+		Metrics:   n.metrics,
 	}
 }
 
 // relayAddr is the address for other gateways.
 func (n *Node) relayAddr() string {
-	return net.JoinHostPort(n.settings.Address, strconv.Itoa(n.settings.InternalPorts[0]))
+	settings := n.settings.Load()
+	return net.JoinHostPort(settings.Address, strconv.Itoa(settings.InternalPorts[0]))
 }
 
 // traffic is the part of the node that carries requests, for the control goroutine.
@@ -127,15 +135,17 @@
 func (t traffic) SetLoads(total map[uint32]int)        { t.dispatcher.SetLoads(total) }
 func (t traffic) SetWorks(works map[uint32]relay.Work) { t.dispatcher.SetWorks(works) }
 
-// Run serves until the context is done and then stops within the grace time.
-func (n *Node) Run(ctx context.Context) error {
-	callers, err := net.Listen("tcp4", n.settings.Callers)
+// Run serves until the context is done and then stops within the grace time. Changes of the settings file at the path
+// are put in force meanwhile.
+func (n *Node) Run(ctx context.Context, settingsPath string) error {
+	settings := n.settings.Load()
+	callers, err := net.Listen("tcp4", settings.Callers)
 	if err != nil {
-		return errors.Wrapf(err, "listen for callers on %q", n.settings.Callers)
+		return errors.Wrapf(err, "listen for callers on %q", settings.Callers)
 	}
-	readiness, err := net.Listen("tcp4", n.settings.Readiness)
+	readiness, err := net.Listen("tcp4", settings.Readiness)
 	if err != nil {
-		return errors.Wrapf(err, "listen for the balancer on %q", n.settings.Readiness)
+		return errors.Wrapf(err, "listen for the balancer on %q", settings.Readiness)
 	}
 	gateways, err := net.Listen("tcp4", n.relayAddr())
 	if err != nil {
@@ -145,9 +155,11 @@
 	defer endControl()
 	go n.controller.Run(control, gateways)
 	go n.serveReadiness(readiness)
+	go n.serveMetrics()
+	go n.watchSettings(control, settingsPath)
 	served := make(chan error, 1)
 	go func() { served <- n.server.Serve(callers) }()
-	n.log.WithFields(logrus.Fields{"host": n.settings.Host, "zone": n.settings.Zone}).Info("started")
+	n.log.WithFields(logrus.Fields{"host": settings.Host, "zone": settings.Zone}).Info("started")
 	select {
 	case err := <-served:
 		return errors.Wrap(err, "serve callers")
--- a/internal/entrynode/program.go
+++ b/internal/entrynode/program.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"github.com/sapphireplank/sapphireplank/internal/logging"
+	"github.com/sapphireplank/sapphireplank/internal/observe"
 )
 
 // Exit codes.
@@ -43,8 +44,11 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB) * megabyte))
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	node := New(settings, connect(settings), logging.New(out, levels))
-	if err := node.Run(ctx); err != nil {
+	metrics := observe.New()
+	output := logging.NewAsyncWriter(out, metrics.Dropped)
+	defer output.Close()
+	node := New(settings, connect(settings), logging.New(output, levels), metrics)
+	if err := node.Run(ctx, settingsPath); err != nil {
 		fmt.Fprintf(errOut, "plank-entry: %v\n", err)
 		return exitFailed
 	}
--- a/internal/entrynode/settings.go
+++ b/internal/entrynode/settings.go
@@ -41,6 +41,8 @@
 	LongestGrant time.Duration
 	// StopGrace is the time from SIGTERM to the end of the process.
 	StopGrace time.Duration
+	// MetricsPort is the port of the metrics; 0 for none.
+	MetricsPort int
 	// LogLevels are the log levels, as LEVEL or PART=LEVEL.
 	LogLevels string
 }
@@ -83,6 +85,7 @@
 	{"retries", "slack", "20", remedyNumber, number(func(s *Settings) *float64 { return &s.RetrySlack })},
 	{"ownership", "longest_grant_ms", "10000", remedyNumber, scaled(time.Millisecond, func(s *Settings) *time.Duration { return &s.LongestGrant })},
 	{"stop", "grace_s", "6", remedyNumber, scaled(time.Second, func(s *Settings) *time.Duration { return &s.StopGrace })},
+	{"metrics", "port", "0", remedyNumber, whole(func(s *Settings) *int { return &s.MetricsPort })},
 	{"log", "levels", "info", "use levels such as info or info,entry=debug", text(func(s *Settings) *string { return &s.LogLevels })},
 }
 
--- a/internal/entrynode/stop.go
+++ b/internal/entrynode/stop.go
@@ -28,7 +28,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
 	n.controller.Resign(ctx)
 	cancel()
-	end := started.Add(n.settings.StopGrace - stopMargin)
+	end := started.Add(n.settings.Load().StopGrace - stopMargin)
 	for time.Now().Before(end) {
 		time.Sleep(stopPoll)
 		if time.Since(started) > lastRequestAfter {
--- /dev/null
+++ b/internal/observe/store.go
@@ -0,0 +1,96 @@
+package observe
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sapphireplank/sapphireplank/internal/kv"
+)
+
+// Store counts the calls of a store.
+type Store struct {
+	store   kv.Store
+	metrics *Metrics
+}
+
+var _ kv.Store = (*Store)(nil)
+
+// NewStore returns a store that passes calls on and counts them.
+func NewStore(store kv.Store, metrics *Metrics) *Store { return &Store{store: store, metrics: metrics} }
+
+// results are the names of errors in metrics.
+var results = []struct {
+	err  error
+	name string
+}{
+	{kv.ErrConflict, "conflict"},
+	{kv.ErrNotFound, "not-found"},
+	{kv.ErrLeaseNotFound, "lease-not-found"},
+	{kv.ErrCompacted, "compacted"},
+	{kv.ErrUnavailable, "unavailable"},
+}
+
+func (s *Store) count(kind string, err error) {
+	if err == nil {
+		s.metrics.StoreCall(kind, "ok")
+		return
+	}
+	for _, result := range results {
+		if errors.Is(err, result.err) {
+			s.metrics.StoreCall(kind, result.name)
+			return
+		}
+	}
+	s.metrics.StoreCall(kind, "unknown")
+}
+
+// List implements kv.Store.
+func (s *Store) List(ctx context.Context, prefix string) (kv.Listing, error) {
+	listing, err := s.store.List(ctx, prefix)
+	s.count("list", err)
+	return listing, err
+}
+
+// Watch implements kv.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Changes, error) {
+	changes, err := s.store.Watch(ctx, prefix, after, wait)
+	s.count("watch", err)
+	return changes, err
+}
+
+// Commit implements kv.Store.
+func (s *Store) Commit(ctx context.Context, txn kv.Txn) (kv.Revision, error) {
+	revision, err := s.store.Commit(ctx, txn)
+	s.count("commit", err)
+	return revision, err
+}
+
+// Get implements kv.Store.
+func (s *Store) Get(ctx context.Context, key string) (kv.Item, error) {
+	item, err := s.store.Get(ctx, key)
+	s.count("get", err)
+	return item, err
+}
+
+// GrantLease implements kv.Store.
+func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	lease, err := s.store.GrantLease(ctx, ttl)
+	s.count("grant-lease", err)
+	return lease, err
+}
+
+// KeepLease implements kv.Store.
+func (s *Store) KeepLease(ctx context.Context, id kv.LeaseID) error {
+	err := s.store.KeepLease(ctx, id)
+	s.count("keep-lease", err)
+	return err
+}
+
+// EndLease implements kv.Store.
+func (s *Store) EndLease(ctx context.Context, id kv.LeaseID) error {
+	err := s.store.EndLease(ctx, id)
+	s.count("end-lease", err)
+	return err
+}
--- a/internal/placing/others.go
+++ b/internal/placing/others.go
@@ -37,5 +37,8 @@
 	return trust*o.count + (1-trust)*mean
 }
 
+// At returns when the last report came; 0 before the first.
+func (o *Others) At() time.Duration { return o.at }
+
 // Last returns the newest estimate without regard to its age.
 func (o *Others) Last() float64 { return o.count }
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -32,6 +32,14 @@
 // NewWindow returns a budget without requests.
 func NewWindow(limits WindowLimits) *Window { return &Window{limits: limits} }
 
+// SetLimits changes the limits. A window of another length begins anew.
+func (w *Window) SetLimits(limits WindowLimits) {
+	if limits.Window != w.limits.Window {
+		*w = Window{}
+	}
+	w.limits = limits
+}
+
 // Request counts a request that is sent for the first time.
 func (w *Window) Request(now time.Duration) {
 	w.advance(now)
