--- /dev/null
+++ b/internal/controller/controller_test.go
@@ -0,0 +1,266 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/directory"
+	"github.com/sapphireplank/sapphireplank/internal/election"
+	"github.com/sapphireplank/sapphireplank/internal/kv"
+	"github.com/sapphireplank/sapphireplank/internal/logging"
+	"github.com/sapphireplank/sapphireplank/internal/observe"
+	"github.com/sapphireplank/sapphireplank/internal/ownership"
+	"github.com/sapphireplank/sapphireplank/internal/relay"
+	"github.com/sapphireplank/sapphireplank/internal/routing"
+	"github.com/sapphireplank/sapphireplank/internal/snapshot"
+)
+
+const testKeys = 64
+
+// testSources reads entries that are the product's own types as JSON.
+type testSources struct{}
+
+func (testSources) Classify(key string) (EntryKind, string) {
+	if key == "config" {
+		return EntryConfig, ""
+	}
+	if id, ok := strings.CutPrefix(key, "servers/"); ok {
+		return EntryServer, id
+	}
+	return EntryOther, ""
+}
+
+func (testSources) Config(value []byte) (*routing.Config, error) {
+	config := &routing.Config{}
+	return config, json.Unmarshal(value, config)
+}
+
+func (testSources) Server(_ string, value []byte) (directory.Server, error) {
+	var server directory.Server
+	return server, json.Unmarshal(value, &server)
+}
+
+// testOrders is the keys that each backend server holds, and fails the test when two hold the same.
+type testOrders struct {
+	t *testing.T
+
+	// mu protects the fields below.
+	mu     sync.Mutex
+	owners [testKeys]string
+}
+
+func (o *testOrders) Grant(_ context.Context, grant ownership.Grant) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for key := grant.Keys.First; key <= grant.Keys.Last; key++ {
+		if owner := o.owners[key]; owner != "" && owner != grant.Server.ID {
+			o.t.Errorf("key %d is granted to %s while %s holds it", key, grant.Server.ID, owner)
+		}
+		o.owners[key] = grant.Server.ID
+	}
+	return nil
+}
+
+func (o *testOrders) Release(_ context.Context, release ownership.Release) (string, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for key := release.Keys.First; key <= release.Keys.Last; key++ {
+		if o.owners[key] == release.Server.ID {
+			o.owners[key] = ""
+		}
+	}
+	return "state", nil
+}
+
+// testTraffic keeps the newest snapshot.
+type testTraffic struct {
+	view atomic.Pointer[snapshot.Snapshot]
+}
+
+func (tt *testTraffic) Publish(view *snapshot.Snapshot)      { tt.view.Store(view) }
+func (tt *testTraffic) Loads() map[uint32]int                { return nil }
+func (tt *testTraffic) Works() map[uint32]relay.Work         { return nil }
+func (tt *testTraffic) SetLoads(map[uint32]int)              {}
+func (tt *testTraffic) SetWorks(works map[uint32]relay.Work) {}
+
+// gateway is one controller under test.
+type gateway struct {
+	*Controller
+	traffic *testTraffic
+	stop    context.CancelFunc
+}
+
+func startGateway(t *testing.T, host string, store kv.Store, orders ownership.Orders) *gateway {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	started := time.Now()
+	traffic := &testTraffic{}
+	traffic.view.Store(&snapshot.Snapshot{})
+	c := New(Options{
+		Host:    host,
+		Addr:    listener.Addr().String(),
+		Store:   store,
+		Sources: testSources{},
+		Orders:  orders,
+		Dialer:  &net.Dialer{},
+		Clock:   func() time.Duration { return time.Since(started) },
+		Traffic: traffic,
+		Election: election.Settings{
+			TTL: 600 * time.Millisecond, KeepEvery: 100 * time.Millisecond, Stretch: time.Second, Delay: 10 * time.Millisecond,
+		},
+		Ownership: ownership.Settings{
+			Host: host, Keys: testKeys, Hold: 800 * time.Millisecond, RenewEvery: 200 * time.Millisecond,
+			RetryEvery: 50 * time.Millisecond, OrderTimeout: 200 * time.Millisecond, Inherited: time.Second,
+		},
+		Planner: ownership.PlannerSettings{Keys: testKeys, Tolerance: 1.25, IdleBelow: 0.4, MaxMoves: 8, MinRate: 5},
+		Log:     logging.Discard().Part("control"),
+		Metrics: observe.New(),
+	})
+	ctx, stop := context.WithCancel(t.Context())
+	go c.Run(ctx, listener)
+	return &gateway{Controller: c, traffic: traffic, stop: stop}
+}
+
+// await waits until a condition holds. The test's own timeout ends a wait that is in vain.
+func await(condition func() bool) {
+	for !condition() {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func put(t *testing.T, store kv.Store, key string, value any) {
+	t.Helper()
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.Commit(t.Context(), kv.Txn{Puts: []kv.Put{{Key: key, Value: encoded}}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// owners returns the backend servers that own keys by a gateway's snapshot, or nothing while some keys move.
+func (g *gateway) owners() map[string]bool {
+	service := g.traffic.view.Load().Services["s"]
+	if service == nil || service.Owners == nil {
+		return nil
+	}
+	owners := make(map[string]bool)
+	for _, row := range service.Owners.Rows {
+		if row.Owner.None() || row.Moving {
+			return nil
+		}
+		owners[row.Owner.ID] = true
+	}
+	return owners
+}
+
+// Guards against keys that stay without an owner, or have two, when servers join and leave and when the elected gateway
+// stops with and without a word; and against gateways that do not learn of it.
+func TestOwnershipThroughElections(t *testing.T) {
+	store := kv.NewMemory()
+	orders := &testOrders{t: t}
+	put(t, store, "config", routing.Config{Version: 3, Services: map[string]routing.Service{"s": {Name: "s", Sharded: true}}})
+	for _, id := range []string{"a", "b"} {
+		put(t, store, "servers/"+id, directory.Server{ID: id, Service: "s", Addr: id, Slots: 2})
+	}
+	gateways := map[string]*gateway{}
+	for _, host := range []string{"g1", "g2", "g3"} {
+		gateways[host] = startGateway(t, host, store, orders)
+	}
+	allKnow := func(owners ...string) func() bool {
+		return func() bool {
+			for _, g := range gateways {
+				got := g.owners()
+				if len(got) != len(owners) {
+					return false
+				}
+				for _, owner := range owners {
+					if !got[owner] {
+						return false
+					}
+				}
+			}
+			return true
+		}
+	}
+	await(allKnow("a", "b"))
+	put(t, store, "servers/c", directory.Server{ID: "c", Service: "s", Addr: "c", Slots: 2})
+	await(allKnow("a", "b", "c"))
+	leader := func() string {
+		item, err := store.Get(t.Context(), election.Key)
+		if err != nil {
+			return ""
+		}
+		var record election.Leader
+		if err := json.Unmarshal(item.Value, &record); err != nil {
+			t.Fatal(err)
+		}
+		return record.Host
+	}
+	resigning := leader()
+	gateways[resigning].Resign(t.Context())
+	gateways[resigning].stop()
+	delete(gateways, resigning)
+	await(func() bool { return leader() != "" && leader() != resigning })
+	put(t, store, "servers/b", directory.Server{ID: "b", Service: "s", Addr: "b", Slots: 2, Draining: true})
+	await(allKnow("a", "c"))
+	lost := leader()
+	gateways[lost].stop()
+	delete(gateways, lost)
+	await(func() bool { return leader() != "" && leader() != lost })
+	put(t, store, "servers/d", directory.Server{ID: "d", Service: "s", Addr: "d", Slots: 2})
+	await(allKnow("a", "c", "d"))
+}
+
+// failingStore refuses calls while it is away.
+type failingStore struct {
+	kv.Store
+	away atomic.Bool
+}
+
+func (s *failingStore) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Changes, error) {
+	if s.away.Load() {
+		return kv.Changes{}, kv.ErrUnavailable
+	}
+	return s.Store.Watch(ctx, prefix, after, min(wait, 100*time.Millisecond))
+}
+
+func (s *failingStore) KeepLease(ctx context.Context, id kv.LeaseID) error {
+	if s.away.Load() {
+		return kv.ErrUnavailable
+	}
+	return s.Store.KeepLease(ctx, id)
+}
+
+// Guards against gateways that rely on an elected one that is cut off from the store, and against a configuration that
+// goes back.
+func TestElectedGatewayCutOff(t *testing.T) {
+	memory := kv.NewMemory()
+	put(t, memory, "config", routing.Config{Version: 3})
+	first := &failingStore{Store: memory}
+	orders := &testOrders{t: t}
+	g1 := startGateway(t, "g1", first, orders)
+	await(func() bool { return g1.traffic.view.Load().Routes != nil })
+	g2 := startGateway(t, "g2", memory, orders)
+	await(func() bool { return g2.traffic.view.Load().Routes != nil })
+	first.away.Store(true)
+	put(t, memory, "config", routing.Config{Version: 5})
+	version := func(g *gateway) uint64 { return g.traffic.view.Load().Routes.Config().Version }
+	await(func() bool { return version(g2) == 5 })
+	put(t, memory, "config", routing.Config{Version: 4})
+	first.away.Store(false)
+	await(func() bool { return version(g1) == 5 })
+	if version(g2) != 5 {
+		t.Fatalf("version %d in force after 5", version(g2))
+	}
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher_test.go
@@ -0,0 +1,214 @@
+package dispatch
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sapphireplank/sapphireplank/internal/directory"
+	"github.com/sapphireplank/sapphireplank/internal/ownership"
+	"github.com/sapphireplank/sapphireplank/internal/relay"
+	"github.com/sapphireplank/sapphireplank/internal/routing"
+	"github.com/sapphireplank/sapphireplank/internal/serverconn"
+	"github.com/sapphireplank/sapphireplank/internal/snapshot"
+	"github.com/sapphireplank/sapphireplank/internal/suspicion"
+)
+
+const (
+	testKeys  = 100
+	testDrain = 2 * time.Second
+)
+
+func newDispatcher() *Dispatcher {
+	started := time.Now()
+	clock := func() time.Duration { return time.Since(started) }
+	return New("z", testDrain, clock, func(addr string) *serverconn.Pool {
+		return serverconn.NewPool(addr, &net.Dialer{}, nil, serverconn.Settings{})
+	})
+}
+
+func known(id string) directory.Known {
+	return directory.Known{Server: directory.Server{ID: id, Service: "s", Addr: id, Zone: "z", Slots: 2}}
+}
+
+// view returns a snapshot of one service. Rows make it sharded.
+func view(servers []directory.Known, rows ...ownership.Row) *snapshot.Snapshot {
+	service := &snapshot.Service{Service: routing.Service{Name: "s", Sharded: len(rows) > 0}, Servers: servers}
+	if len(rows) > 0 {
+		service.Owners = &ownership.Table{Rows: rows}
+	}
+	return &snapshot.Snapshot{Services: map[string]*snapshot.Service{"s": service}}
+}
+
+func owned(id string, moving bool) ownership.Row {
+	return ownership.Row{
+		Keys: ownership.Keys{First: 0, Last: testKeys - 1}, Owner: ownership.Holder{ID: id}, Token: 1, Moving: moving,
+	}
+}
+
+func demand(d *Dispatcher, priority int) *Demand {
+	now := d.clock()
+	r := &Demand{Service: "s", Key: 7, HasKey: true, Target: 300 * time.Millisecond}
+	r.Arrived, r.TargetAt, r.Deadline, r.Priority = now, now+r.Target, now+2*time.Second, priority
+	return r
+}
+
+func reason(err error) Reason {
+	var refusal *Refusal
+	if !errors.As(err, &refusal) {
+		return ""
+	}
+	return refusal.Reason
+}
+
+// Guards against requests that are sent to a server that has no room, or are refused although there is some.
+func TestRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDispatcher()
+		d.Update(view([]directory.Known{known("a")}, owned("a", false)))
+		var tickets []*Ticket
+		for {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+			ticket, err := d.Acquire(ctx, demand(d, 0))
+			cancel()
+			if err != nil {
+				break
+			}
+			tickets = append(tickets, ticket)
+		}
+		if len(tickets) < 2 || len(tickets) > 6 {
+			t.Fatalf("%d requests at a server with 2 slots", len(tickets))
+		}
+		done := make(chan error)
+		go func() {
+			_, err := d.Acquire(t.Context(), demand(d, 0))
+			done <- err
+		}()
+		synctest.Wait()
+		d.Done(tickets[0], Result{Ran: true})
+		if err := <-done; err != nil {
+			t.Fatalf("request was refused when there was room again: %v", err)
+		}
+	})
+}
+
+// Guards against a more urgent request that waits behind less urgent ones.
+func TestUrgentFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDispatcher()
+		d.Update(view([]directory.Known{known("a")}, owned("a", true)))
+		order := make(chan int, 3)
+		for _, priority := range []int{2, 1, 0} {
+			go func() {
+				if _, err := d.Acquire(t.Context(), demand(d, priority)); err != nil {
+					order <- -1
+					return
+				}
+				order <- priority
+			}()
+			synctest.Wait()
+		}
+		d.SetLoads(map[uint32]int{relay.ServerHash(directory.Incarnation{ID: "a"}): 4})
+		d.Update(view([]directory.Known{known("a")}, owned("a", false)))
+		if first := <-order; first != 0 {
+			t.Fatalf("request of priority %d went first", first)
+		}
+	})
+}
+
+// Guards against requests for owners that are about to leave, move, are gone or do not answer.
+func TestOwners(t *testing.T) {
+	draining := known("a")
+	draining.Draining = true
+	cases := []struct {
+		name string
+		view *snapshot.Snapshot
+		wait time.Duration
+		want Reason
+	}{
+		{"owner", view([]directory.Known{known("a")}, owned("a", false)), 0, ""},
+		{"owner drains", view([]directory.Known{draining}, owned("a", false)), 0, ""},
+		{"owner has drained for long", view([]directory.Known{draining}, owned("a", false)), testDrain - drainMargin + time.Millisecond, ReasonMoving},
+		{"keys move for long", view([]directory.Known{known("a")}, owned("a", true)), 0, ReasonMoving},
+		{"owner is gone", view(nil, owned("a", false)), 0, ReasonMoving},
+		{"no owner", view(nil, owned("", false)), 0, ReasonNoOwner},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDispatcher()
+				d.Update(c.view)
+				time.Sleep(c.wait)
+				if _, err := d.Acquire(t.Context(), demand(d, 0)); reason(err) != c.want {
+					t.Fatalf("%v, want %q", err, c.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a server that has been silent and goes on getting requests, and against one that gets none again
+// although the others have left.
+func TestSuspects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDispatcher()
+		servers := []directory.Known{known("a"), known("b")}
+		d.Update(view(servers))
+		var tickets []*Ticket
+		for range 4 {
+			ticket, err := d.Acquire(t.Context(), demand(d, 0))
+			if err != nil {
+				t.Fatal(err)
+			}
+			tickets = append(tickets, ticket)
+		}
+		for _, ticket := range tickets {
+			outcome := suspicion.OK
+			if ticket.Server.ID == "a" {
+				outcome = suspicion.Silent
+			}
+			d.Done(ticket, Result{Outcome: outcome})
+		}
+		if d.Suspects() != 1 {
+			t.Fatalf("%d servers are suspended, want 1", d.Suspects())
+		}
+		for range 20 {
+			ticket, err := d.Acquire(t.Context(), demand(d, 0))
+			if err != nil || ticket.Server.ID == "a" {
+				t.Fatalf("ticket %+v, error %v", ticket, err)
+			}
+			d.Done(ticket, Result{})
+		}
+		d.Update(view(servers[:1]))
+		if _, err := d.Acquire(t.Context(), demand(d, 0)); err != nil {
+			t.Fatalf("the only server gets no request: %v", err)
+		}
+	})
+}
+
+// Guards against a slot that stays taken after its caller has left while it waited.
+func TestCallerLeavesWhileWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDispatcher()
+		d.Update(view([]directory.Known{known("a")}, owned("a", true)))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() {
+			_, err := d.Acquire(ctx, demand(d, 0))
+			done <- err
+		}()
+		synctest.Wait()
+		cancel()
+		if err := <-done; reason(err) != ReasonLeft {
+			t.Fatalf("%v, want %q", err, ReasonLeft)
+		}
+		d.Update(view([]directory.Known{known("a")}, owned("a", false)))
+		if loads := d.Loads(); len(loads) != 0 {
+			t.Fatalf("requests at servers: %v", loads)
+		}
+	})
+}
