--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -23,7 +23,7 @@
 	now := d.clock()
 	for _, s := range d.servers {
 		s.fleet = max(0, total[s.hash]-s.own)
-		s.fleetAt = now
+		s.fleetAt, s.fleetKnown = now, true
 	}
 	d.pump()
 }
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -28,8 +28,9 @@
 	// fleetWork is how long requests run at the server as all gateways measured it; 0 if that is not known.
 	fleetWork time.Duration
 	// fleet is the number of requests of other gateways as the gateways told each other, at fleetAt.
-	fleet   int
-	fleetAt time.Duration
+	fleet      int
+	fleetAt    time.Duration
+	fleetKnown bool
 	// hash names the server in messages between gateways.
 	hash   uint32
 	record suspicion.Record
@@ -40,7 +41,7 @@
 
 // othersNow estimates the requests of other gateways at the server.
 func (s *server) othersNow(now time.Duration, mean float64) float64 {
-	if s.fleetAt > 0 && now-s.fleetAt < fleetFor {
+	if s.fleetKnown && now-s.fleetAt < fleetFor {
 		return float64(s.fleet)
 	}
 	return s.others.Estimate(now, mean)
