--- a/internal/controller/beats.go
+++ b/internal/controller/beats.go
@@ -18,7 +18,7 @@
 	loadEvery = 50 * time.Millisecond
 	// fleetOfLoadEvery is the number of gateways up to which loadEvery holds. It grows with more of them, so that
 	// the elected gateway does not send more messages.
-	fleetOfLoadEvery = 16
+	fleetOfLoadEvery = 8
 	// freshFor is how long a contact with the store lets the others rely on this gateway.
 	freshFor = 900 * time.Millisecond
 	// spreadWorksEvery is the time between two messages with run times.
@@ -38,6 +38,9 @@
 	fullAsOf kv.Revision
 }
 
+// reportScale returns how many times rarer gateways of a fleet report than few of them.
+func reportScale(gateways int) int { return max(1, gateways/fleetOfLoadEvery) }
+
 // beat sends what is due to the other gateways.
 func (c *Controller) beat() {
 	now := c.Clock()
@@ -68,8 +71,7 @@
 
 // spreadLoads sends the requests of all gateways at each backend server, if they have changed.
 func (c *Controller) spreadLoads(now time.Duration) {
-	scale := max(1, c.hub.Gateways()/fleetOfLoadEvery)
-	c.beats.nextLoad = now + time.Duration(scale)*loadEvery
+	c.beats.nextLoad = now + time.Duration(reportScale(c.hub.Gateways()))*loadEvery
 	loads := c.hub.Loads()
 	c.Traffic.SetLoads(loads)
 	if maps.Equal(loads, c.beats.loads) {
--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +13,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/kv"
 	"github.com/sapphireplank/sapphireplank/internal/mirror"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
+	"github.com/sapphireplank/sapphireplank/internal/wire"
 )
 
 // releaseTimeout bounds the wait for running requests to end at a backend server that releases keys.
@@ -105,7 +107,19 @@
 	a.writing = false
 	a.revision = item.Revision
 	a.assigner.Recorded(sequence)
-	c.follow(mirror.Update{Events: []kv.Event{{Item: item}}})
+	service := strings.TrimPrefix(item.Key, prefixTables)
+	before, base := c.tables[service], c.items[item.Key].Revision
+	if before == nil || base == 0 {
+		c.follow(mirror.Update{Events: []kv.Event{{Item: item}}})
+		return
+	}
+	c.items[item.Key] = item
+	c.beats.full = nil
+	c.followItem(item)
+	c.dirty = true
+	delta := c.tables[service].Delta(before)
+	delta.Service, delta.Base, delta.Revision = service, int64(base), int64(item.Revision)
+	c.broadcast(&wire.RelayDown{Tables: []*wire.OwnershipDelta{delta}})
 }
 
 func (c *Controller) notRecorded(service string, a *assignment, item kv.Item, err, readErr error) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -68,6 +68,8 @@
 	// results takes functions that the goroutine runs.
 	results chan func()
 	ready   atomic.Bool
+	// fleet is the number of gateways, by which reports become rarer.
+	fleet   atomic.Int64
 	reports *reports
 	hub     *relay.Hub
 	server  *relay.Server
--- a/internal/controller/source.go
+++ b/internal/controller/source.go
@@ -128,8 +128,11 @@
 	if down.Fresh {
 		c.source.freshAt = now
 	}
-	if down.Gateways > 0 && c.gateways.note(int(down.Gateways), now) {
-		c.dirty = true
+	if down.Gateways > 0 {
+		c.fleet.Store(int64(down.Gateways))
+		if c.gateways.note(int(down.Gateways), now) {
+			c.dirty = true
+		}
 	}
 	if down.HasLoad {
 		c.Traffic.SetLoads(relay.DecodeLoads(down.Load))
@@ -149,25 +152,57 @@
 	if down.Full {
 		c.source.complete = true
 	}
-	if c.source.complete {
-		c.follow(update)
+	if !c.source.complete {
+		return
+	}
+	c.follow(update)
+	for _, delta := range down.Tables {
+		c.patchTable(delta)
 	}
 }
 
+// patchTable brings an ownership table up to date. If changes were missed, everything is asked for again.
+func (c *Controller) patchTable(delta *wire.OwnershipDelta) {
+	key := prefixTables + delta.Service
+	item, table := c.items[key], c.tables[delta.Service]
+	if kv.Revision(delta.Revision) <= item.Revision {
+		return
+	}
+	if table == nil || kv.Revision(delta.Base) != item.Revision {
+		c.Log.WithField("service", delta.Service).Info("change of an ownership table was missed; asking for all of it")
+		c.source.stopRelay()
+		return
+	}
+	patched, err := table.Patch(delta)
+	if err != nil {
+		c.Log.WithError(err).Warning("change of an ownership table cannot be used; asking for all of it")
+		c.source.stopRelay()
+		return
+	}
+	// Only the revision is needed: a gateway that is elected reads the table from the store.
+	c.items[key] = kv.Item{Key: key, Revision: kv.Revision(delta.Revision), Created: item.Created}
+	c.tables[delta.Service] = patched
+	c.dirty = true
+}
+
 // collector returns a function that returns what there is to report to the elected gateway.
 func (c *Controller) collector() func() *wire.RelayUp {
 	var last map[uint32]int
-	count := 0
+	count, nextWorks := 0, 0
 	return func() *wire.RelayUp {
 		count++
+		if count%reportScale(int(c.fleet.Load())) != 0 {
+			return nil
+		}
 		up := &wire.RelayUp{}
 		up.Keys, up.Refused = c.reports.take()
 		if loads := c.Traffic.Loads(); last == nil || !maps.Equal(loads, last) {
 			last = loads
 			up.HasLoad, up.Load = true, relay.EncodeLoads(loads)
 		}
-		due := count%worksEvery == 0
+		due := count >= nextWorks
 		if due {
+			nextWorks = count + worksEvery
 			up.Works = relay.EncodeWorks(c.Traffic.Works())
 		}
 		if len(up.Keys) == 0 && len(up.Refused) == 0 && !up.HasLoad && !due {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -37,7 +37,7 @@
 }
 
 // fleetFor is how long the gateways' own numbers are better than the load that a server reports.
-const fleetFor = 300 * time.Millisecond
+const fleetFor = time.Second
 
 // othersNow estimates the requests of other gateways at the server.
 func (s *server) othersNow(now time.Duration, mean float64) float64 {
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -79,7 +79,7 @@
 const Samples = 2
 
 // Choose returns the index of a server with room, or -1. It takes the one with the least expected finish of a few that
-// are drawn at random, near and far. Servers that are suspended count only if
+// are drawn at random: of near ones, and of far ones too unless a near one is quick enough. Servers that are suspended count only if
 // more than half of them are, because suspicion is not trusted then.
 func Choose(servers []Server, limits Limits, random *rand.Rand) int {
 	suspended := 0
@@ -99,9 +99,24 @@
 			far = append(far, i)
 		}
 	}
-	drawn := append(draw(near, random), draw(far, random)...)
+	best := quickest(servers, draw(near, random))
+	if best >= 0 && servers[best].Finish() <= time.Duration(comfort*float64(limits.Target)) {
+		return best
+	}
+	if other := quickest(servers, draw(far, random)); best < 0 || other >= 0 && servers[other].Finish() < servers[best].Finish() {
+		return other
+	}
+	return best
+}
+
+// comfort is the share of the latency objective within which a near server is good enough: bytes between zones are paid
+// for.
+const comfort = 0.5
+
+// quickest returns the index of the server with the least expected finish, or -1.
+func quickest(servers []Server, indices []int) int {
 	best := -1
-	for _, i := range drawn {
+	for _, i := range indices {
 		if best < 0 || servers[i].Finish() < servers[best].Finish() {
 			best = i
 		}
