platform, controller: give up a silent watch after 1.6 s

The cause is inferred: a watch waited 5 s and was given up 1.5 s after that, so a connection that went silent hid changes for up to 6.5 s.

Change: watches wait 1 s and are given up 0.6 s later, in all gateways.

--- a/internal/controller/source.go
+++ b/internal/controller/source.go
@@ -13,10 +13,9 @@
 )
 
 const (
-	// ownWait is how long a watch of the store waits in a gateway that nobody follows.
-	ownWait = 5 * time.Second
-	// leaderWait is the same in the elected gateway, on which the others rely.
-	leaderWait = time.Second
+	// watchWait is how long a watch of the store waits. A connection may go silent, and a configuration has to be in
+	// force within 2 s all the same.
+	watchWait = time.Second
 	// relayTimeout is how long the elected gateway may be silent, or out of contact with the store, before this
 	// gateway follows the store itself.
 	relayTimeout = 700 * time.Millisecond
@@ -30,7 +29,6 @@
 type source struct {
 	// stopMirror ends the mirror of the store; nil if there is none.
 	stopMirror context.CancelFunc
-	mirrorWait time.Duration
 	// stopRelay ends the connection to the elected gateway; nil if there is none.
 	stopRelay context.CancelFunc
 	relayAddr string
@@ -48,23 +46,18 @@
 	c.followLeader(ctx, now)
 	relayed := c.source.complete && now-c.source.freshAt < relayTimeout
 	leading := c.election.State() == election.StateLeading
-	wait := ownWait
-	if leading {
-		wait = leaderWait
-	}
-	if c.source.stopMirror != nil && (relayed && !leading || wait != c.source.mirrorWait) {
+	if c.source.stopMirror != nil && relayed && !leading {
 		c.source.stopMirror()
 		c.source.stopMirror = nil
 	}
 	if c.source.stopMirror == nil && (!relayed || leading) {
-		c.startMirror(ctx, wait)
+		c.startMirror(ctx)
 	}
 }
 
 // startMirror follows the store from the revision that is known.
-func (c *Controller) startMirror(ctx context.Context, wait time.Duration) {
+func (c *Controller) startMirror(ctx context.Context) {
 	ctx, c.source.stopMirror = context.WithCancel(ctx)
-	c.source.mirrorWait = wait
 	deliver := func(ctx context.Context, update mirror.Update) {
 		c.do(func() {
 			if ctx.Err() == nil {
@@ -72,7 +65,7 @@
 			}
 		})
 	}
-	go mirror.New(c.Store, wait, deliver).Run(ctx, c.asOf)
+	go mirror.New(c.Store, watchWait, deliver).Run(ctx, c.asOf)
 }
 
 // followLeader connects to the elected gateway if it is another one.
