--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,188 +1,22 @@
 package entry
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/dispatch"
-	"github.com/sapphireplank/sapphireplank/internal/exchange"
-	"github.com/sapphireplank/sapphireplank/internal/logging"
-	"github.com/sapphireplank/sapphireplank/internal/netdial"
 	"github.com/sapphireplank/sapphireplank/internal/observe"
 	"github.com/sapphireplank/sapphireplank/internal/retry"
 	"github.com/sapphireplank/sapphireplank/internal/routing"
-	"github.com/sapphireplank/sapphireplank/internal/serverconn"
 	"github.com/sapphireplank/sapphireplank/internal/snapshot"
 )
 
-// testHeaders uses short names.
-type testHeaders struct{}
-
-func (testHeaders) Call(header http.Header) exchange.Call {
-	call := exchange.Call{ID: header.Get("Id")}
-	if patience, err := time.ParseDuration(header.Get("Patience")); err == nil {
-		call.Patience, call.HasPatience = patience, true
-	}
-	return call
-}
-
-func (testHeaders) Forward(header http.Header, left time.Duration, instance string) {
-	header.Set("Left", left.String())
-	header.Set("Instance", instance)
-}
-
-func (testHeaders) Reply(_ int, header http.Header) exchange.Reply {
-	return exchange.Reply{ID: header.Get("Id"), Signed: header.Get("Sign") != "", NotRun: header.Get("Not-Run") != ""}
-}
-
-// backend is a stand-in of a backend server. Its handler writes the answer.
-type backend struct {
-	addr     string
-	arrivals atomic.Int64
-	// left counts requests whose connection ended before their answer.
-	left atomic.Int64
-}
-
-func newBackend(t *testing.T, handler http.HandlerFunc) *backend {
-	t.Helper()
-	b := &backend{}
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	b.addr = listener.Addr().String()
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		b.arrivals.Add(1)
-		w.Header().Set("Id", r.Header.Get("Id"))
-		handler(w, r)
-	})}
-	go server.Serve(listener)
-	t.Cleanup(func() { server.Close() })
-	return b
-}
-
-func signed(w http.ResponseWriter, status int, body string) {
-	w.Header().Set("Sign", "1")
-	w.WriteHeader(status)
-	io.WriteString(w, body)
-}
-
-// abort ends the connection without an answer.
-func abort(w http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) }
-
-// fixture is a gateway's entry with some backend servers.
-type fixture struct {
-	addr   string
-	server *Server
-	view   atomic.Pointer[snapshot.Snapshot]
-}
-
-const (
-	// testTimeout is far longer than any test needs, so that a busy machine changes no outcome.
-	testTimeout = 20 * time.Second
-	// shortTimeout is that of the route on which requests run out of time.
-	shortTimeout = 300 * time.Millisecond
-	budgetSlack  = 3
-)
-
-func newFixture(t *testing.T, backends ...*backend) *fixture {
-	t.Helper()
-	started := time.Now()
-	clock := func() time.Duration { return time.Since(started) }
-	silence := netdial.Settings{ConnectTimeout: time.Second, SilenceTimeout: 5 * time.Second, ProbeEvery: 5 * time.Second}
-	dispatcher := dispatch.New("z", time.Second, clock, func(addr string) *serverconn.Pool {
-		return serverconn.NewPool(addr, silence.Dialer(), testHeaders{}, serverconn.Settings{
-			MaxIdle: time.Minute, MaxIdleOnce: time.Minute, MaxAnswerBytes: 1 << 20,
-		})
-	})
-	service := &snapshot.Service{Service: routing.Service{Name: "s"}}
-	for i, b := range backends {
-		service.Servers = append(service.Servers, directory.Known{Server: directory.Server{
-			ID: fmt.Sprint("b", i), Service: "s", Addr: b.addr, Zone: "z", Slots: 4,
-		}})
-	}
-	config := &routing.Config{
-		Version: 1,
-		Routes: []routing.Route{
-			{Name: "read", Host: "h", Prefix: "/read/", Idempotent: true, Timeout: testTimeout, Target: testTimeout / 2, MaxAttempts: 2, Split: []routing.Share{{Service: "s", Weight: 1}}},
-			{Name: "short", Host: "h", Prefix: "/short/", Timeout: shortTimeout, Target: shortTimeout / 2, MaxAttempts: 2, Split: []routing.Share{{Service: "s", Weight: 1}}},
-			{Name: "order", Host: "h", Prefix: "/order/", Timeout: testTimeout, Target: testTimeout / 2, MaxAttempts: 2, Split: []routing.Share{{Service: "s", Weight: 1}}},
-		},
-		Limits: routing.Limits{MaxHeaderBytes: 4 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 2 * time.Second, IdleTimeout: 10 * time.Second},
-	}
-	f := &fixture{}
-	f.view.Store(&snapshot.Snapshot{
-		Routes: routing.NewTable(config), Services: map[string]*snapshot.Service{"s": service}, Gateways: 1,
-	})
-	dispatcher.Update(f.view.Load())
-	f.server = New(Options{
-		View:       f.view.Load,
-		Clock:      clock,
-		Dispatcher: dispatcher,
-		Headers:    testHeaders{},
-		Budgets:    NewBudgets(retry.WindowLimits{Window: time.Minute, Ratio: 0, Slack: budgetSlack}, clock),
-		Silence:    silence,
-		Stopping:   func() bool { return false },
-		Log:        logging.Discard().Part("entry"),
-		Metrics:    observe.New(),
-	})
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	f.addr = listener.Addr().String()
-	go f.server.Serve(listener)
-	return f
-}
-
-// client is a connection of a caller.
-type client struct {
-	t      *testing.T
-	conn   net.Conn
-	reader *bufio.Reader
-}
-
-func (f *fixture) dial(t *testing.T) *client {
-	t.Helper()
-	conn, err := net.Dial("tcp4", f.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { conn.Close() })
-	return &client{t: t, conn: conn, reader: bufio.NewReader(conn)}
-}
-
-func (c *client) send(method, path, id string) {
-	fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nPatience: 60s\r\nContent-Length: 0\r\n\r\n", method, path, id)
-}
-
-func (c *client) receive() (*http.Response, string) {
-	c.t.Helper()
-	if err := c.conn.SetReadDeadline(time.Now().Add(30 * time.Second)); err != nil {
-		c.t.Fatal(err)
-	}
-	response, err := http.ReadResponse(c.reader, nil)
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	return response, string(body)
-}
-
 // Guards against requests that run twice, refusals of requests that may have run, successes that are none, and
 // failures that are not tried again although they may be.
 func TestOutcomes(t *testing.T) {
@@ -293,8 +127,10 @@
 			<-arrived
 			<-arrived
 			conn.conn.Close()
-			if <-ended != broken || <-ended != broken {
-				t.Fatalf("broken off: %v, want %v", !broken, broken)
+			for range 2 {
+				if got := <-ended; got != broken {
+					t.Errorf("broken off: %v, want %v", got, broken)
+				}
 			}
 		})
 	}
--- a/internal/ownership/history_test.go
+++ b/internal/ownership/history_test.go
@@ -26,56 +26,6 @@
 	lateBy = 12 * time.Second
 )
 
-// hold is a grant that a simulated backend server keeps.
-type hold struct {
-	keys  Keys
-	token Token
-	until time.Duration
-}
-
-// simServer is one life of a backend server. It checks the token of a grant when the call arrives only, which is the
-// weakest check that the protocol allows.
-type simServer struct {
-	holder Holder
-	up     bool
-	holds  []hold
-	seen   map[int]Token
-}
-
-func (s *simServer) owns(key int, now time.Duration) bool {
-	return s.up && slices.ContainsFunc(s.holds, func(h hold) bool { return h.keys.Contains(key) && now < h.until })
-}
-
-func (s *simServer) sawHigher(keys Keys, token Token) bool {
-	for key := keys.First; key <= keys.Last; key++ {
-		if s.seen[key] > token {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *simServer) apply(h hold) {
-	s.remove(h.keys)
-	s.holds = append(s.holds, h)
-	for key := h.keys.First; key <= h.keys.Last; key++ {
-		s.seen[key] = max(s.seen[key], h.token)
-	}
-}
-
-// remove ends the holds of keys and keeps the rest of each hold.
-func (s *simServer) remove(keys Keys) {
-	var left []hold
-	for _, h := range s.holds {
-		for key := h.keys.First; key <= h.keys.Last; key++ {
-			if !keys.Contains(key) {
-				left = append(left, hold{keys: Keys{First: key, Last: key}, token: h.token, until: h.until})
-			}
-		}
-	}
-	s.holds = left
-}
-
 // delivery is something that happens at a later time.
 type delivery struct {
 	at time.Duration
@@ -194,7 +144,7 @@
 			p.assigner.Done(Result{Order: order, Err: ErrNoAnswer, At: h.now})
 		})
 	}
-	if h.fails() && h.fails() {
+	if vanishes := h.fails(); vanishes && h.fails() {
 		timeout()
 		return
 	}
@@ -203,7 +153,7 @@
 		timeout()
 	}
 	h.after(h.delay(historySettings.OrderTimeout), func() {
-		err, handover := h.arrive(order, lost)
+		handover, err := h.arrive(order, lost)
 		if !lost {
 			answer(err, handover)
 		}
@@ -211,22 +161,22 @@
 }
 
 // arrive lets a backend server execute an order. A lost one may take effect later, for a time that counts from now.
-func (h *history) arrive(order Order, lost bool) (error, string) {
+func (h *history) arrive(order Order, lost bool) (string, error) {
 	if order.Kind == OrderRelease {
 		s := h.server(order.Release.Server)
 		if !s.up {
-			return ErrNoAnswer, ""
+			return "", ErrNoAnswer
 		}
 		s.remove(order.Release.Keys)
-		return nil, fmt.Sprint("state of ", order.Release.Keys)
+		return fmt.Sprint("state of ", order.Release.Keys), nil
 	}
 	grant := order.Grant
 	s := h.server(grant.Server)
 	if !s.up || grant.Server.None() {
-		return ErrNoAnswer, ""
+		return "", ErrNoAnswer
 	}
 	if s.sawHigher(grant.Keys, grant.Token) {
-		return ErrHigherToken, ""
+		return "", ErrHigherToken
 	}
 	held := hold{keys: grant.Keys, token: grant.Token, until: h.now + grant.Hold + grant.Hold/50}
 	if lost && h.fails() {
@@ -235,10 +185,10 @@
 				s.apply(held)
 			}
 		})
-		return nil, ""
+		return "", nil
 	}
 	s.apply(held)
-	return nil, ""
+	return "", nil
 }
 
 // disturb does something random.
