dispatch, entry: send nothing to an address that another server has

A server of draftdesk fell silent and its address went to feeledger; gateways went on sending to the owner on record, and each request got 421 from the other server, twice.

Ruled out: retries above the budget (the budget of draftdesk held).

Change: an answer that names another server ends the one that was meant, for this gateway and, when it comes to an order, for the elected one, which moves the keys at once.

The new case of TestOutcomes fails before (2 arrivals).

--- a/internal/controller/assign.go
+++ b/internal/controller/assign.go
@@ -127,7 +127,9 @@
 	defer func() { a.restUntil = now + planRest*(boottime.Now()-started) }()
 	a.nextPlan = now + planEvery
 	a.planned = c.serversChanged
-	candidates := c.candidates(service)
+	candidates := slices.DeleteFunc(c.candidates(service), func(candidate ownership.Candidate) bool {
+		return a.assigner.HasEnded(candidate.Holder)
+	})
 	meter := c.meter(service)
 	meter.Advance(c.Clock())
 	table, _ := a.assigner.Table(now)
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -34,6 +34,8 @@
 	// hash names the server in messages between gateways.
 	hash   uint32
 	record suspicion.Record
+	// gone is true once another server has answered at the address.
+	gone bool
 }
 
 // fleetFor is how long the gateways' own numbers are better than the load that a server reports.
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -107,7 +107,7 @@
 	var fresh, tried []*server
 	for _, server := range s.servers {
 		switch {
-		case server.known.Draining:
+		case server.known.Draining || server.gone:
 		case slices.Contains(demand.Tried, server.known.Incarnation()):
 			tried = append(tried, server)
 		default:
@@ -133,7 +133,7 @@
 	if row.Token == demand.StaleToken && now < demand.RetryAt {
 		return choice{reason: ReasonMoving, wait: demand.RetryAt - now, work: mean}
 	}
-	if owner.drained(now, s.drain) {
+	if owner.gone || owner.drained(now, s.drain) {
 		return choice{reason: ReasonMoving, wait: s.moveWait(row.Token, now), work: mean}
 	}
 	state := owner.state(now, mean, s.meanOthers())
--- a/internal/dispatch/ticket.go
+++ b/internal/dispatch/ticket.go
@@ -40,6 +40,8 @@
 	// Load is the load that the server reported, if HasLoad.
 	Load    exchange.Load
 	HasLoad bool
+	// Gone is true if another server has answered at the address: the one that was meant has ended.
+	Gone bool
 	// Ran is true if the time of the answer tells how long requests run.
 	Ran bool
 }
@@ -73,6 +75,7 @@
 	now := d.clock()
 	d.finish(t)
 	t.server.record.Note(result.Outcome, now)
+	t.server.gone = t.server.gone || result.Gone
 	if result.HasLoad {
 		t.server.others.Report(result.Load.Running+result.Load.Waiting, t.server.own, now)
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -42,7 +42,9 @@
 }
 
 func (testHeaders) Reply(_ int, header http.Header) exchange.Reply {
-	return exchange.Reply{ID: header.Get("Id"), Signed: header.Get("Sign") != "", NotRun: header.Get("Not-Run") != ""}
+	return exchange.Reply{
+		ID: header.Get("Id"), Signed: header.Get("Sign") != "", NotRun: header.Get("Not-Run") != "", Instance: header.Get("Instance"),
+	}
 }
 
 // backend is a stand-in of a backend server. Its handler writes the answer.
@@ -193,6 +195,11 @@
 	}
 	failed := func(w http.ResponseWriter, _ *http.Request) { signed(w, 500, "bad") }
 	unsigned := func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") }
+	elsewhere := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Run", "1")
+		w.Header().Set("Instance", "other")
+		w.WriteHeader(421)
+	}
 	hang := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
 	cases := []struct {
 		name     string
@@ -211,6 +218,7 @@
 		{"read, failed at the server", "/read/", failed, 500, 2},
 		{"read, answer lost", "/read/", abort, 502, 2},
 		{"read, not run", "/read/", notRun, 503, 2},
+		{"another server at the address", "/short/", elsewhere, 503, 1},
 		{"no route", "/other/", ok, 404, 0},
 	}
 	for _, c := range cases {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -145,6 +145,7 @@
 	if f.last != nil {
 		result.Load, result.HasLoad = f.last.Reply.Load, f.last.Reply.HasLoad
 		misdirected = f.last.Status == http.StatusMisdirectedRequest
+		result.Gone = misdirected && f.last.Reply.Instance != "" && f.last.Reply.Instance != ticket.Server.ID
 	}
 	result.Ran = v == verdictAnswer
 	if !left {
--- a/internal/ownership/assigner.go
+++ b/internal/ownership/assigner.go
@@ -133,8 +133,8 @@
 	}
 }
 
-// hasEnded reports whether a life is known to be over.
-func (a *Assigner) hasEnded(holder Holder) bool { return a.ended[life{holder.ID, holder.Born}] }
+// HasEnded reports whether a holder's life is known to be over.
+func (a *Assigner) HasEnded(holder Holder) bool { return a.ended[life{holder.ID, holder.Born}] }
 
 // Refused notes that the owner of a key refused a request about it, so that its grant is sent again.
 func (a *Assigner) Refused(key int, owner string, now time.Duration) {
--- a/internal/ownership/moves.go
+++ b/internal/ownership/moves.go
@@ -31,7 +31,7 @@
 		return false
 	}
 	r := a.rows[i]
-	if r.owner.Same(move.To) || a.hasEnded(move.To) {
+	if r.owner.Same(move.To) || a.HasEnded(move.To) {
 		return false
 	}
 	if r.moving && r.keys != move.Keys {
@@ -39,7 +39,7 @@
 		return false
 	}
 	target := a.cut(i, move.Keys)
-	target.leave(a.hasEnded(target.owner))
+	target.leave(a.HasEnded(target.owner))
 	target.owner = move.To
 	target.token = a.newToken()
 	target.moving = true
--- a/internal/ownership/step.go
+++ b/internal/ownership/step.go
@@ -95,7 +95,7 @@
 
 // grant returns the first grant or the renewal of a row, if it is due.
 func (a *Assigner) grant(r *rowState, now time.Duration) (Order, bool) {
-	if r.sending || r.stale || now < r.nextSend || r.guarded(now) || a.hasEnded(r.owner) {
+	if r.sending || r.stale || now < r.nextSend || r.guarded(now) || a.HasEnded(r.owner) {
 		return Order{}, false
 	}
 	r.sending = true
