--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -39,7 +39,9 @@
 }
 
 func (testHeaders) Reply(_ int, header http.Header) exchange.Reply {
-	return exchange.Reply{ID: header.Get("Id"), Signed: header.Get("Sign") != "", NotRun: header.Get("Not-Run") != ""}
+	return exchange.Reply{
+		ID: header.Get("Id"), Signed: header.Get("Sign") != "", NotRun: header.Get("Not-Run") != "", Instance: header.Get("Instance"),
+	}
 }
 
 // backend is a stand-in of a backend server. Its handler writes the answer.
