controller: leave a stale elected gateway at once, pass tables on whole

The others relied on the elected one for up to 0.9 s after its last contact and 0.7 s after its last word that it had one.

Change: a heartbeat without contact makes the others follow the store at once (contact counts for 0.8 s); gateways keep the whole table.

--- a/internal/controller/beats.go
+++ b/internal/controller/beats.go
@@ -20,7 +20,7 @@
 	// the elected gateway does not send more messages.
 	fleetOfLoadEvery = 8
 	// freshFor is how long a contact with the store lets the others rely on this gateway.
-	freshFor = 900 * time.Millisecond
+	freshFor = 800 * time.Millisecond
 	// spreadWorksEvery is the time between two messages with run times.
 	spreadWorksEvery = time.Second
 )
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -80,10 +80,18 @@
 
 // testTraffic keeps the newest snapshot.
 type testTraffic struct {
+	t    *testing.T
 	view atomic.Pointer[snapshot.Snapshot]
 }
 
-func (tt *testTraffic) Publish(view *snapshot.Snapshot)      { tt.view.Store(view) }
+// Publish fails the test if the ownership that was known gets lost.
+func (tt *testTraffic) Publish(view *snapshot.Snapshot) {
+	if last := tt.view.Load().Services["s"]; last != nil && last.Owners != nil && view.Services["s"].Owners == nil {
+		tt.t.Error("ownership table was lost")
+	}
+	tt.view.Store(view)
+}
+
 func (tt *testTraffic) Loads() map[uint32]int                { return nil }
 func (tt *testTraffic) Works() map[uint32]relay.Work         { return nil }
 func (tt *testTraffic) SetLoads(map[uint32]int)              {}
@@ -103,7 +111,7 @@
 		t.Fatal(err)
 	}
 	started := time.Now()
-	traffic := &testTraffic{}
+	traffic := &testTraffic{t: t}
 	traffic.view.Store(&snapshot.Snapshot{})
 	c := New(Options{
 		Host:    host,
--- a/internal/controller/source.go
+++ b/internal/controller/source.go
@@ -118,8 +118,12 @@
 		return
 	}
 	now := c.Clock()
-	if down.Fresh {
+	switch {
+	case down.Fresh:
 		c.source.freshAt = now
+	case down.Gateways > 0:
+		// A heartbeat that says that the sender has lost the store.
+		c.source.freshAt = now - relayTimeout
 	}
 	if down.Gateways > 0 {
 		c.fleet.Store(int64(down.Gateways))
@@ -172,8 +176,14 @@
 		c.source.stopRelay()
 		return
 	}
-	// Only the revision is needed: a gateway that is elected reads the table from the store.
-	c.items[key] = kv.Item{Key: key, Revision: kv.Revision(delta.Revision), Created: item.Created}
+	value, err := patched.Encode()
+	if err != nil {
+		c.Log.WithError(err).Error("ownership table cannot be encoded")
+		return
+	}
+	// If this gateway is elected, it passes the value on, and reads what it goes on from, with the former holders, from
+	// the store.
+	c.items[key] = kv.Item{Key: key, Value: value, Revision: kv.Revision(delta.Revision), Created: item.Created}
 	c.tables[delta.Service] = patched
 	c.dirty = true
 }
--- a/internal/ownership/delta.go
+++ b/internal/ownership/delta.go
@@ -48,7 +48,7 @@
 
 // Patch returns the table that a delta leads to. The rows of the result cover the same keys as before.
 func (t *Table) Patch(delta *wire.OwnershipDelta) (*Table, error) {
-	patched := &Table{}
+	patched := &Table{NextToken: t.NextToken}
 	for _, encoded := range delta.Rows {
 		row := Row{
 			Keys: Keys{First: int(encoded.First), Last: int(encoded.Last)}, Token: Token(encoded.Token), Moving: encoded.Moving,
@@ -60,6 +60,7 @@
 			row.Owner = Holder{ID: holder.Id, Born: holder.Born, Addr: holder.Addr}
 		}
 		patched.Rows = append(patched.Rows, row)
+		patched.NextToken = max(patched.NextToken, row.Token+1)
 	}
 	changed := len(patched.Rows)
 	for _, row := range t.Rows {
