ownership, controller: drop an unused argument and a wrapper

Cause: Planner.Plan took a time that it does not use, and Controller.bootNow only called boottime.Now.

Change: both are gone. Behaviour is the same.

--- a/internal/controller/assign.go
+++ b/internal/controller/assign.go
@@ -90,7 +90,7 @@
 	if c.assigners[service] != a || term != c.election.Term() {
 		return
 	}
-	now := c.bootNow()
+	now := boottime.Now()
 	log := c.Log.WithFields(logrus.Fields{"service": service, "term": term})
 	switch {
 	case errors.Is(err, kv.ErrNotFound):
@@ -134,7 +134,7 @@
 	meter.Advance(c.Clock())
 	table, _ := a.assigner.Table(now)
 	c.keepUnsettled(table)
-	moves := a.planner.Plan(table.Rows, candidates, meter, now)
+	moves := a.planner.Plan(table.Rows, candidates, meter)
 	moved, all := a.assigner.Apply(moves, now)
 	if !all {
 		a.nextPlan = now
--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -22,8 +22,6 @@
 // keepTimeout bounds a renewal of the lease: the others learn soon that this gateway lost the store.
 const keepTimeout = 700 * time.Millisecond
 
-func (c *Controller) bootNow() time.Duration { return boottime.Now() }
-
 // electionCall does a call of the election.
 func (c *Controller) electionCall(ctx context.Context, call election.Call, started time.Duration) {
 	go func() {
--- a/internal/ownership/planner.go
+++ b/internal/ownership/planner.go
@@ -1,7 +1,5 @@
 package ownership
 
-import "time"
-
 // Candidate is a backend server that may own keys.
 type Candidate struct {
 	Holder
@@ -42,7 +40,7 @@
 func NewPlanner(settings PlannerSettings) *Planner { return &Planner{settings: settings} }
 
 // Plan returns moves that give every key an owner among the candidates and even out their utilization.
-func (p *Planner) Plan(rows []Row, candidates []Candidate, load Load, now time.Duration) []Move {
+func (p *Planner) Plan(rows []Row, candidates []Candidate, load Load) []Move {
 	if len(candidates) == 0 {
 		return nil
 	}
--- a/internal/ownership/planner_bench_test.go
+++ b/internal/ownership/planner_bench_test.go
@@ -30,7 +30,7 @@
 		}
 	}
 	for b.Loop() {
-		planner.Plan(rows, candidates, load, 0)
+		planner.Plan(rows, candidates, load)
 	}
 }
 
