serverconn: notice the reset of a new connection before the first request

Cause: a backend server with too many connections resets new ones at once.

Ruled out: fewer connections alone; servers accept fewer of them while their queue is long, whatever one gateway does.

Change: a new connection is watched for a round trip and 1.2 ms. A reset within that time means that nothing was sent, so another server may get the request. Settings.AcceptSlack; the test fails without it.

--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -202,6 +202,7 @@
 var poolSettings = serverconn.Settings{
 	MaxIdle:        8 * time.Second,
 	MaxIdleOnce:    5 * time.Second,
+	AcceptSlack:    1200 * time.Microsecond,
 	MaxAnswerBytes: 16 << 20,
 }
 
--- a/internal/serverconn/pool.go
+++ b/internal/serverconn/pool.go
@@ -17,6 +17,9 @@
 	MaxIdle time.Duration
 	// MaxIdleOnce is the same for requests that may run once at most.
 	MaxIdleOnce time.Duration
+	// AcceptSlack is how much longer than a round trip a new connection is watched for a reset before its first
+	// request; 0 for not at all.
+	AcceptSlack time.Duration
 	// MaxAnswerBytes bounds an answer's body.
 	MaxAnswerBytes int64
 }
@@ -99,6 +102,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
+	started := time.Now()
 	netConn, err := p.dialer.DialContext(ctx, "tcp4", p.addr)
 	if err != nil {
 		return nil, errors.WithSecondaryError(ErrNotSent, err)
@@ -106,7 +110,13 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return newConn(netConn.(*net.TCPConn), p.headers, p.settings), nil
+	tcp := netConn.(*net.TCPConn)
+	if !accepted(tcp, time.Since(started), p.settings.AcceptSlack) {
+		// The backend server has ended it already.
+		_ = tcp.Close()
+		return nil, errors.Wrap(ErrNotSent, "new connection was reset")
+	}
+	return newConn(tcp, p.headers, p.settings), nil
 }
 
 // put keeps a connection for the next request.
--- a/internal/serverconn/pool_test.go
+++ b/internal/serverconn/pool_test.go
@@ -31,6 +31,12 @@
 
 // serve starts a backend server that plays one script per connection, in order. The last one is repeated.
 func serve(t *testing.T, scripts ...script) (*Pool, *atomic.Int64) {
+	t.Helper()
+	return serveWith(t, Settings{MaxIdle: time.Minute, MaxIdleOnce: time.Minute, MaxAnswerBytes: 1 << 20}, scripts...)
+}
+
+// serveWith is serve with other settings of the pool.
+func serveWith(t *testing.T, settings Settings, scripts ...script) (*Pool, *atomic.Int64) {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -47,9 +53,7 @@
 			go play(conn.(*net.TCPConn), scripts[min(i, len(scripts)-1)], received)
 		}
 	}()
-	pool := NewPool(listener.Addr().String(), &net.Dialer{}, testHeaders{}, Settings{
-		MaxIdle: time.Minute, MaxIdleOnce: time.Minute, MaxAnswerBytes: 1 << 20,
-	})
+	pool := NewPool(listener.Addr().String(), &net.Dialer{}, testHeaders{}, settings)
 	t.Cleanup(pool.Close)
 	return pool, received
 }
@@ -270,3 +274,16 @@
 	}
 	<-ended
 }
+
+// Guards against a request that counts as possibly run although the backend server, which has too many connections,
+// reset the connection before anything was sent.
+func TestResetOfNewConnection(t *testing.T) {
+	settings := Settings{MaxIdle: time.Minute, MaxIdleOnce: time.Minute, MaxAnswerBytes: 1 << 20, AcceptSlack: 5 * time.Second}
+	pool, received := serveWith(t, settings, func(conn *net.TCPConn, _ <-chan *http.Request) { reset(conn) })
+	if _, err := send(t, pool, "a"); !errors.Is(err, ErrNotSent) {
+		t.Fatalf("error %v, want %v", err, ErrNotSent)
+	}
+	if received.Load() != 0 {
+		t.Fatal("the request was sent")
+	}
+}
