dispatch, placing: compute the state of drawn servers only

Change: servers are drawn first and looked at until two have room; waiting requests with the same latency objective share one look; the owner of a key is found by an index. fullChoices, placing.Candidates, placing.Trusted.

--- a/internal/controller/beats.go
+++ b/internal/controller/beats.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"maps"
 	"time"
 
 	"github.com/sapphireplank/sapphireplank/internal/boottime"
@@ -14,11 +13,13 @@
 const (
 	// beatEvery is the time between two heartbeats to the other gateways.
 	beatEvery = 200 * time.Millisecond
-	// loadEvery is the time between two sums of the requests at backend servers.
-	loadEvery = 50 * time.Millisecond
-	// fleetOfLoadEvery is the number of gateways up to which loadEvery holds. It grows with more of them, so that
-	// the elected gateway does not send more messages.
-	fleetOfLoadEvery = 8
+	// shortestReport and longestReport bound the time between two reports of a gateway, and between two sums of them.
+	// Sums have to be younger than the work of a request, so that gateways do not fill the same servers.
+	shortestReport = 50 * time.Millisecond
+	longestReport  = 2 * time.Second
+	// messagesPerCore is the number of messages a second that the elected gateway exchanges with the others, for each
+	// core that it may use. One takes some 50 us, so this is a tenth of its time.
+	messagesPerCore = 2000
 	// freshFor is how long a contact with the store lets the others rely on this gateway.
 	freshFor = 800 * time.Millisecond
 	// spreadWorksEvery is the time between two messages with run times.
@@ -30,7 +31,8 @@
 	nextBeat  time.Duration
 	nextLoad  time.Duration
 	nextWorks time.Duration
-	loads     map[uint32]int
+	// loads are the requests at each backend server that the other gateways know.
+	loads map[uint32]int
 	// contact is when the store last answered.
 	contact time.Duration
 	// full is all that the store held at fullAsOf, encoded.
@@ -38,8 +40,16 @@
 	fullAsOf kv.Revision
 }
 
-// reportScale returns how many times rarer gateways of a fleet report than few of them.
-func reportScale(gateways int) int { return max(1, gateways/fleetOfLoadEvery) }
+// reportEvery returns the time between two reports of each gateway that an elected gateway with some processor time can
+// take.
+func reportEvery(gateways int, cores float64) time.Duration {
+	messages := float64(2 * gateways)
+	interval := time.Duration(messages / (messagesPerCore * max(cores, leastCores)) * float64(time.Second))
+	return min(max(interval, shortestReport), longestReport)
+}
+
+// leastCores is the processor time that is assumed where the settings name less.
+const leastCores = 0.05
 
 // beat sends what is due to the other gateways.
 func (c *Controller) beat() {
@@ -59,6 +69,7 @@
 		Fresh:    now-c.beats.contact < freshFor,
 		AsOf:     int64(c.asOf),
 		Gateways: uint32(c.gateways.value(now)),
+		ReportMs: uint32(c.reportEvery().Milliseconds()),
 	}
 	if now >= c.beats.nextWorks {
 		c.beats.nextWorks = now + spreadWorksEvery
@@ -69,16 +80,20 @@
 	c.broadcast(down)
 }
 
-// spreadLoads sends the requests of all gateways at each backend server, if they have changed.
+// reportEvery returns the time between two reports of each gateway.
+func (c *Controller) reportEvery() time.Duration { return reportEvery(c.hub.Gateways(), c.Cores) }
+
+// spreadLoads sends how the requests of all gateways at each backend server have changed.
 func (c *Controller) spreadLoads(now time.Duration) {
-	c.beats.nextLoad = now + time.Duration(reportScale(c.hub.Gateways()))*loadEvery
+	c.beats.nextLoad = now + c.reportEvery()
 	loads := c.hub.Loads()
 	c.Traffic.SetLoads(loads)
-	if maps.Equal(loads, c.beats.loads) {
+	changes := relay.LoadChanges(c.beats.loads, loads)
+	if len(changes) == 0 {
 		return
 	}
 	c.beats.loads = loads
-	c.broadcast(&wire.RelayDown{HasLoad: true, Load: relay.EncodeLoads(loads)})
+	c.broadcast(&wire.RelayDown{LoadChanged: true, Load: relay.EncodeLoads(changes)})
 }
 
 // takeOwnReports counts this gateway like the others.
@@ -116,6 +131,7 @@
 		if message, ok := c.everything(); ok {
 			session.Send(message)
 		}
+		c.sendLoads(session)
 		for _, a := range c.assigners {
 			if a.assigner != nil {
 				// A gateway that follows this one does not act as the elected one any more.
@@ -125,6 +141,16 @@
 	})
 }
 
+// sendLoads sends the requests of all gateways at each backend server, which later messages change.
+func (c *Controller) sendLoads(session *relay.Session) {
+	message, err := relay.Encode(&wire.RelayDown{HasLoad: true, Load: relay.EncodeLoads(c.beats.loads)})
+	if err != nil {
+		c.Log.WithError(err).Error("requests at backend servers are not passed on; the gateway goes by the servers' reports")
+		return
+	}
+	session.Send(message)
+}
+
 // everything returns the message with all that the store holds. It is encoded again only after a change.
 func (c *Controller) everything() (relay.Message, bool) {
 	if c.beats.full != nil && c.beats.fullAsOf == c.asOf {
--- /dev/null
+++ b/internal/controller/beats_test.go
@@ -0,0 +1,30 @@
+package controller
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against an elected gateway that spends its processor time on reports, and against reports that are older than
+// the work of a request on the deployments of today and on the grown ones.
+func TestReportEvery(t *testing.T) {
+	cases := []struct {
+		gateways int
+		cores    float64
+		most     time.Duration
+	}{
+		{10, 0.32, 50 * time.Millisecond},
+		{75, 0.8, 100 * time.Millisecond},
+		{75, 0.16, 500 * time.Millisecond},
+		{11000, 0.8, longestReport},
+	}
+	for _, c := range cases {
+		interval := reportEvery(c.gateways, c.cores)
+		if interval > c.most || interval < shortestReport {
+			t.Errorf("%d gateways, %v cores: every %v, want at most %v", c.gateways, c.cores, interval, c.most)
+		}
+		if messages := float64(2*c.gateways) / interval.Seconds(); interval < longestReport && messages > 1.01*messagesPerCore*c.cores {
+			t.Errorf("%d gateways, %v cores: %.0f messages a second", c.gateways, c.cores, messages)
+		}
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -22,8 +22,10 @@
 // Options are what a controller needs.
 type Options struct {
 	// Host is the name of this host, and Addr its address for other gateways.
-	Host    string
-	Addr    string
+	Host string
+	Addr string
+	// Cores is the processor time that this process may use.
+	Cores   float64
 	Store   kv.Store
 	Sources Sources
 	Orders  ownership.Orders
@@ -68,11 +70,11 @@
 	// results takes functions that the goroutine runs.
 	results chan func()
 	ready   atomic.Bool
-	// fleet is the number of gateways, by which reports become rarer.
-	fleet   atomic.Int64
-	reports *reports
-	hub     *relay.Hub
-	server  *relay.Server
+	// reportInterval is the time between two reports that the elected gateway wants, in nanoseconds.
+	reportInterval atomic.Int64
+	reports        *reports
+	hub            *relay.Hub
+	server         *relay.Server
 
 	// The fields below belong to the goroutine.
 	directory *directory.Directory
--- a/internal/controller/source.go
+++ b/internal/controller/source.go
@@ -38,6 +38,8 @@
 	freshAt  time.Duration
 	// session counts connections, so that messages of an earlier one are left out.
 	session int
+	// loads are the requests of all gateways at each backend server; nil until the elected gateway has sent them.
+	loads map[uint32]int
 }
 
 // chooseSource keeps a connection to the elected gateway, and follows the store while that is of no use.
@@ -87,6 +89,7 @@
 		return
 	}
 	s.session++
+	s.loads = nil
 	session := s.session
 	ctx, s.stopRelay = context.WithCancel(ctx)
 	client := &relay.Client{
@@ -125,15 +128,13 @@
 		// A heartbeat that says that the sender has lost the store.
 		c.source.freshAt = now - relayTimeout
 	}
-	if down.Gateways > 0 {
-		c.fleet.Store(int64(down.Gateways))
-		if c.gateways.note(int(down.Gateways), now) {
-			c.dirty = true
-		}
+	if down.Gateways > 0 && c.gateways.note(int(down.Gateways), now) {
+		c.dirty = true
 	}
-	if down.HasLoad {
-		c.Traffic.SetLoads(relay.DecodeLoads(down.Load))
+	if down.ReportMs > 0 {
+		c.reportInterval.Store(int64(time.Duration(down.ReportMs) * time.Millisecond))
 	}
+	c.relayedLoads(down)
 	if len(down.Works) > 0 {
 		c.Traffic.SetWorks(relay.DecodeWorks(down.Works))
 	}
@@ -158,6 +159,21 @@
 	}
 }
 
+// relayedLoads takes the requests of all gateways at each backend server. A heartbeat says that they have not changed.
+func (c *Controller) relayedLoads(down *wire.RelayDown) {
+	switch {
+	case down.HasLoad:
+		c.source.loads = relay.DecodeLoads(down.Load)
+	case c.source.loads == nil:
+		return
+	case down.LoadChanged:
+		relay.PatchLoads(c.source.loads, relay.DecodeLoads(down.Load))
+	case !down.Fresh:
+		return
+	}
+	c.Traffic.SetLoads(c.source.loads)
+}
+
 // patchTable brings an ownership table up to date. If changes were missed, everything is asked for again.
 func (c *Controller) patchTable(delta *wire.OwnershipDelta) {
 	key := prefixTables + delta.Service
@@ -191,23 +207,25 @@
 // collector returns a function that returns what there is to report to the elected gateway.
 func (c *Controller) collector() func() *wire.RelayUp {
 	var last map[uint32]int
-	count, nextWorks := 0, 0
+	var next time.Duration
+	count := 0
 	return func() *wire.RelayUp {
-		count++
-		if count%reportScale(int(c.fleet.Load())) != 0 {
+		now := c.Clock()
+		if now < next {
 			return nil
 		}
+		next = now + time.Duration(c.reportInterval.Load()) - relay.ReportTick/2
 		up := &wire.RelayUp{}
 		up.Keys, up.Refused = c.reports.take()
 		if loads := c.Traffic.Loads(); last == nil || !maps.Equal(loads, last) {
 			last = loads
 			up.HasLoad, up.Load = true, relay.EncodeLoads(loads)
 		}
-		due := count >= nextWorks
+		due := count%worksEvery == 0
 		if due {
-			nextWorks = count + worksEvery
 			up.Works = relay.EncodeWorks(c.Traffic.Works())
 		}
+		count++
 		if len(up.Keys) == 0 && len(up.Refused) == 0 && !up.HasLoad && !due {
 			return nil
 		}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -80,9 +80,13 @@
 		s.sharded = described.Sharded
 		s.owners = described.Owners
 		s.servers = s.servers[:0]
+		clear(s.byLife)
 		for _, known := range described.Servers {
-			s.servers = append(s.servers, d.server(known))
-			seen[known.Incarnation()] = true
+			life := known.Incarnation()
+			server := d.server(known)
+			s.servers = append(s.servers, server)
+			s.byLife[life] = server
+			seen[life] = true
 		}
 		s.forgetMoves()
 	}
@@ -95,6 +99,7 @@
 	for name, s := range d.services {
 		if view.Services[name] == nil {
 			s.servers, s.owners = nil, nil
+			clear(s.byLife)
 		}
 	}
 	d.pump()
@@ -236,9 +241,10 @@
 		}
 		return 0
 	})
-	var kept []*waiter
+	full := make(fullChoices)
+	kept := s.waiting[:0]
 	for _, w := range s.waiting {
-		c := s.choose(w.demand, now, 0)
+		c := full.choose(s, w.demand, now)
 		switch {
 		case c.server != nil:
 			w.result <- waitResult{ticket: d.ticket(s, c, now)}
@@ -248,5 +254,6 @@
 			kept = append(kept, w)
 		}
 	}
+	clear(s.waiting[len(kept):])
 	return kept
 }
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -77,6 +77,5 @@
 		Work:         work,
 		Distance:     distance,
 		FailureShare: s.record.FailureShare(now),
-		Suspended:    s.record.Suspended(now),
 	}
 }
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -25,17 +25,22 @@
 	// drain is how long a backend server that is about to leave takes requests.
 	drain   time.Duration
 	servers []*server
-	owners  *ownership.Table
+	// byLife finds a server of the service.
+	byLife map[directory.Incarnation]*server
+	owners *ownership.Table
 	// movingSince holds, by token, when this gateway first saw that a row moves.
 	movingSince map[ownership.Token]time.Duration
 	work        placing.Work
 	waiting     []*waiter
 	random      *rand.Rand
+	// eligible, near and far are room for indices of servers while a request is placed.
+	eligible, near, far []int
 }
 
 func newService(drain time.Duration) *service {
 	return &service{
 		drain:       drain,
+		byLife:      make(map[directory.Incarnation]*server),
 		movingSince: make(map[ownership.Token]time.Duration),
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -80,44 +85,58 @@
 // chooseAny places a request that any server of the service can run.
 func (s *service) chooseAny(demand *Demand, now time.Duration, ahead int) choice {
 	mean, others := s.meanWork(demand), s.meanOthers()
-	candidates := s.candidates(demand)
-	if len(candidates) == 0 {
+	state := func(i int) placing.Server { return s.servers[i].state(now, mean, others) }
+	candidates := s.candidates(demand, now)
+	if len(candidates.Near)+len(candidates.Far) == 0 {
 		return choice{reason: ReasonNoServer, wait: longMove, work: mean}
 	}
-	states := make([]placing.Server, len(candidates))
-	rate := 0.0
-	for i, candidate := range candidates {
-		states[i] = candidate.state(now, mean, others)
-		if !states[i].Suspended {
-			rate += float64(states[i].Slots) / states[i].Work.Seconds()
-		}
+	candidates.State = state
+	if i := placing.Choose(candidates, placing.Limits{Target: demand.Target}, s.random); i >= 0 {
+		return choice{server: s.servers[i], work: state(i).Work}
 	}
-	if i := placing.Choose(states, placing.Limits{Target: demand.Target}, s.random); i >= 0 {
-		return choice{server: candidates[i], work: states[i].Work}
-	}
-	wait := longMove
-	if rate > 0 {
-		wait = time.Duration(float64(ahead+1) / rate * float64(time.Second))
+	rate := 0.0
+	for _, i := range slices.Concat(candidates.Near, candidates.Far) {
+		server := state(i)
+		rate += float64(server.Slots) / server.Work.Seconds()
 	}
+	wait := time.Duration(float64(ahead+1) / rate * float64(time.Second))
 	return choice{reason: ReasonFull, wait: wait, work: mean}
 }
 
-// candidates returns the servers that may get the request, without those that had it if there are others.
-func (s *service) candidates(demand *Demand) []*server {
-	var fresh, tried []*server
-	for _, server := range s.servers {
-		switch {
-		case server.known.Draining || server.gone:
-		case slices.Contains(demand.Tried, server.known.Incarnation()):
-			tried = append(tried, server)
-		default:
-			fresh = append(fresh, server)
+// candidates returns the servers that may get the request: without those that had it if there are others, and without
+// suspended ones unless most are. The result is valid until the next call.
+func (s *service) candidates(demand *Demand, now time.Duration) placing.Candidates {
+	fresh, tried, suspended := s.eligible[:0], []int(nil), 0
+	for i, server := range s.servers {
+		if server.known.Draining || server.gone {
+			continue
+		}
+		if len(demand.Tried) > 0 && slices.Contains(demand.Tried, server.known.Incarnation()) {
+			tried = append(tried, i)
+			continue
+		}
+		fresh = append(fresh, i)
+		if server.record.Suspended(now) {
+			suspended++
 		}
 	}
+	s.eligible = fresh
 	if len(fresh) == 0 {
-		return tried
+		fresh = tried
+	}
+	trusted := suspended > 0 && placing.Trusted(suspended, len(fresh))
+	candidates := placing.Candidates{Near: s.near[:0], Far: s.far[:0]}
+	for _, i := range fresh {
+		switch {
+		case trusted && s.servers[i].record.Suspended(now):
+		case s.servers[i].local:
+			candidates.Near = append(candidates.Near, i)
+		default:
+			candidates.Far = append(candidates.Far, i)
+		}
 	}
-	return fresh
+	s.near, s.far = candidates.Near, candidates.Far
+	return candidates
 }
 
 // chooseOwner places a request that only the owner of its key can run.
@@ -137,7 +156,7 @@
 		return choice{reason: ReasonMoving, wait: s.moveWait(row.Token, now), work: mean}
 	}
 	state := owner.state(now, mean, s.meanOthers())
-	if state.Suspended {
+	if owner.record.Suspended(now) {
 		return choice{reason: ReasonSuspended, wait: longMove, work: state.Work}
 	}
 	if state.HasRoom(placing.Limits{Target: demand.Target}) {
@@ -162,13 +181,7 @@
 	if row == nil {
 		return nil, nil
 	}
-	life := directory.Incarnation{ID: row.Owner.ID, Born: row.Owner.Born}
-	for _, server := range s.servers {
-		if server.known.Incarnation() == life {
-			return row, server
-		}
-	}
-	return row, nil
+	return row, s.byLife[directory.Incarnation{ID: row.Owner.ID, Born: row.Owner.Born}]
 }
 
 // moveWait returns how long the keys of a row are still expected to move.
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -100,6 +100,7 @@
 	return controller.Options{
 		Host:      settings.Host,
 		Addr:      n.relayAddr(),
+		Cores:     settings.Cores,
 		Store:     n.adapter.Store,
 		Sources:   n.adapter.Sources,
 		Orders:    n.adapter.Orders,
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -23,8 +23,6 @@
 	Distance time.Duration
 	// FailureShare is the share of requests that the server fails.
 	FailureShare float64
-	// Suspended is true if the server should get no request.
-	Suspended bool
 }
 
 // Limits bound the requests at a backend server.
@@ -78,57 +76,53 @@
 // send to the same one until they hear of each other's requests.
 const Samples = 2
 
+// Trusted reports whether suspended servers get no request. Suspicion is not trusted when it is of more than half of
+// the servers.
+func Trusted(suspended, servers int) bool { return 2*suspended <= servers }
+
+// Candidates are the servers that may get a request.
+type Candidates struct {
+	// Near are the indices of the servers in this gateway's zone, Far those of the others. Choose reorders them.
+	Near, Far []int
+	// State returns what is known about the server with an index.
+	State func(index int) Server
+}
+
 // Choose returns the index of a server with room, or -1. It takes the one with the least expected finish of a few that
-// are drawn at random: of near ones, and of far ones too unless a near one is quick enough. Servers that are suspended count only if
-// more than half of them are, because suspicion is not trusted then.
-func Choose(servers []Server, limits Limits, random *rand.Rand) int {
-	suspended := 0
-	for _, s := range servers {
-		if s.Suspended {
-			suspended++
-		}
-	}
-	trusted := 2*suspended <= len(servers)
-	var near, far []int
-	for i, s := range servers {
-		switch {
-		case s.Suspended && trusted || !s.HasRoom(limits):
-		case s.Distance == 0:
-			near = append(near, i)
-		default:
-			far = append(far, i)
-		}
-	}
-	best := quickest(servers, draw(near, random))
-	if best >= 0 && servers[best].Finish() <= time.Duration(comfort*float64(limits.Target)) {
-		return best
+// are drawn at random: of near ones, and of far ones too unless a near one is quick enough.
+func Choose(candidates Candidates, limits Limits, random *rand.Rand) int {
+	near, nearFinish := candidates.quickest(candidates.Near, limits, random)
+	if near >= 0 && nearFinish <= time.Duration(comfort*float64(limits.Target)) {
+		return near
 	}
-	if other := quickest(servers, draw(far, random)); best < 0 || other >= 0 && servers[other].Finish() < servers[best].Finish() {
-		return other
+	far, farFinish := candidates.quickest(candidates.Far, limits, random)
+	if near < 0 || far >= 0 && farFinish < nearFinish {
+		return far
 	}
-	return best
+	return near
 }
 
 // comfort is the share of the latency objective within which a near server is good enough: bytes between zones are paid
 // for.
 const comfort = 0.5
 
-// quickest returns the index of the server with the least expected finish, or -1.
-func quickest(servers []Server, indices []int) int {
-	best := -1
-	for _, i := range indices {
-		if best < 0 || servers[i].Finish() < servers[best].Finish() {
-			best = i
-		}
-	}
-	return best
-}
-
-// draw returns a few of the indices at random.
-func draw(indices []int, random *rand.Rand) []int {
-	for i := range min(Samples, len(indices)) {
+// quickest draws a few servers with room and returns the index of the one with the least expected finish, or -1.
+func (c Candidates) quickest(indices []int, limits Limits, random *rand.Rand) (int, time.Duration) {
+	best, bestFinish := -1, time.Duration(0)
+	drawn := 0
+	for i := range indices {
 		j := i + random.IntN(len(indices)-i)
 		indices[i], indices[j] = indices[j], indices[i]
+		state := c.State(indices[i])
+		if !state.HasRoom(limits) {
+			continue
+		}
+		if finish := state.Finish(); best < 0 || finish < bestFinish {
+			best, bestFinish = indices[i], finish
+		}
+		if drawn++; drawn == Samples {
+			break
+		}
 	}
-	return indices[:min(Samples, len(indices))]
+	return best, bestFinish
 }
--- a/internal/placing/placing_test.go
+++ b/internal/placing/placing_test.go
@@ -36,25 +36,44 @@
 	}
 }
 
-// Guards against requests for suspended servers, and against so many suspects that the rest is overloaded.
-func TestChooseSuspended(t *testing.T) {
+// choose places a request on one of the servers, of which those without a distance are near.
+func choose(servers []Server, limits Limits, random *rand.Rand) int {
+	candidates := Candidates{State: func(i int) Server { return servers[i] }}
+	for i, s := range servers {
+		if s.Distance == 0 {
+			candidates.Near = append(candidates.Near, i)
+		} else {
+			candidates.Far = append(candidates.Far, i)
+		}
+	}
+	return Choose(candidates, limits, random)
+}
+
+// Guards against so many suspects that the rest is overloaded.
+func TestTrusted(t *testing.T) {
+	if !Trusted(2, 4) || Trusted(3, 4) {
+		t.Fatal("suspicion of half of the servers is trusted, of more than half it is not")
+	}
+}
+
+// Guards against full servers that are chosen because no other was drawn.
+func TestChooseFindsRoom(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 1))
+	servers := make([]Server, 50)
+	for i := range servers {
+		servers[i] = idle()
+		servers[i].Others = 20
+	}
 	limits := Limits{Target: time.Second}
-	servers := []Server{idle(), idle(), idle(), idle()}
-	servers[0].Suspended, servers[1].Suspended = true, true
+	if i := choose(servers, limits, random); i != -1 {
+		t.Fatalf("full server %d was chosen", i)
+	}
+	servers[17].Others = 0
 	for range 50 {
-		if i := Choose(servers, limits, random); i < 2 {
-			t.Fatalf("suspended server %d was chosen", i)
+		if i := choose(servers, limits, random); i != 17 {
+			t.Fatalf("server %d was chosen, only 17 has room", i)
 		}
 	}
-	servers[2].Suspended = true
-	chosen := make(map[int]bool)
-	for range 200 {
-		chosen[Choose(servers, limits, random)] = true
-	}
-	if len(chosen) != 4 {
-		t.Fatalf("with most servers suspended, %d of 4 were chosen", len(chosen))
-	}
 }
 
 // Guards against gateways that all send to the same server until they hear of each other: with loads that are one
@@ -75,7 +94,7 @@
 					servers[i].Distance = 0
 				}
 			}
-			if i := Choose(servers, Limits{Target: 4 * work}, random); i >= 0 {
+			if i := choose(servers, Limits{Target: 4 * work}, random); i >= 0 {
 				added[i]++
 			}
 		}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -14,15 +14,15 @@
 	// Host is the name of this gateway.
 	Host   string
 	Dialer *net.Dialer
-	// Collect returns what there is to report, or nil. It is called at the interval ReportEvery.
+	// Collect returns what there is to report, or nil. It is called at the interval ReportTick.
 	Collect func() *wire.RelayUp
 	// Receive takes each message.
 	Receive func(*wire.RelayDown)
 }
 
 const (
-	// ReportEvery is the time between two reports to the elected gateway.
-	ReportEvery = 50 * time.Millisecond
+	// ReportTick is how often a gateway looks whether there is something to report.
+	ReportTick = 50 * time.Millisecond
 	// downSilence is how long the elected gateway may be silent before its connection is given up.
 	downSilence = 2 * time.Second
 )
@@ -58,7 +58,7 @@
 
 // reports sends what there is to report until the context is done.
 func (c *Client) reports(ctx context.Context, conn net.Conn) {
-	ticker := time.NewTicker(ReportEvery)
+	ticker := time.NewTicker(ReportTick)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -26,14 +26,39 @@
 func EncodeLoads(loads map[uint32]int) *wire.ServerLoads {
 	message := &wire.ServerLoads{}
 	for server, requests := range loads {
-		if requests > 0 {
-			message.Servers = append(message.Servers, server)
-			message.Requests = append(message.Requests, uint32(requests))
-		}
+		message.Servers = append(message.Servers, server)
+		message.Requests = append(message.Requests, uint32(requests))
 	}
 	return message
 }
 
+// LoadChanges returns the request counts that differ from those before. A server without requests has a count of 0.
+func LoadChanges(before, after map[uint32]int) map[uint32]int {
+	changes := make(map[uint32]int)
+	for server, requests := range after {
+		if before[server] != requests {
+			changes[server] = requests
+		}
+	}
+	for server := range before {
+		if _, ok := after[server]; !ok {
+			changes[server] = 0
+		}
+	}
+	return changes
+}
+
+// PatchLoads applies changes to request counts.
+func PatchLoads(loads, changes map[uint32]int) {
+	for server, requests := range changes {
+		if requests == 0 {
+			delete(loads, server)
+			continue
+		}
+		loads[server] = requests
+	}
+}
+
 // DecodeLoads returns the request counts of a message.
 func DecodeLoads(message *wire.ServerLoads) map[uint32]int {
 	loads := make(map[uint32]int, len(message.GetServers()))
--- /dev/null
+++ b/internal/relay/codec_test.go
@@ -0,0 +1,26 @@
+package relay
+
+import (
+	"maps"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against gateways whose view of the requests at backend servers departs from that of the elected one after many
+// changes.
+func TestLoadChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		counts := rapid.MapOf(rapid.Uint32Range(1, 9), rapid.IntRange(1, 4))
+		known := counts.Draw(t, "first")
+		view := maps.Clone(known)
+		for range rapid.IntRange(0, 6).Draw(t, "rounds") {
+			next := counts.Draw(t, "next")
+			PatchLoads(view, DecodeLoads(EncodeLoads(LoadChanges(known, next))))
+			known = next
+			if !maps.Equal(view, known) {
+				t.Fatalf("view %v, want %v", view, known)
+			}
+		}
+	})
+}
