--- a/internal/controller/assign.go
+++ b/internal/controller/assign.go
@@ -42,7 +42,9 @@
 	// revision is that of the recorded table; 0 if there is none.
 	revision kv.Revision
 	writing  bool
-	nextPlan time.Duration
+	// recordAfter is when the table may be written again after a failure.
+	recordAfter time.Duration
+	nextPlan    time.Duration
 	// restUntil is when the next plan may be made at the earliest.
 	restUntil time.Duration
 	// planned is the count of changes of backend servers that the last plan knew; 0 before the first plan.
@@ -210,7 +212,7 @@
 
 // record writes the table if it has changed.
 func (c *Controller) record(ctx context.Context, service string, a *assignment, now time.Duration) {
-	if a.writing || !a.assigner.Unrecorded() || !c.election.Confirmed(now) {
+	if a.writing || now < a.recordAfter || !a.assigner.Unrecorded() || !c.election.Confirmed(now) {
 		return
 	}
 	table, sequence := a.assigner.Table(now)
--- a/internal/controller/beats.go
+++ b/internal/controller/beats.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"strings"
 	"time"
 
 	"github.com/sapphireplank/sapphireplank/internal/boottime"
@@ -158,7 +159,7 @@
 	}
 	down := &wire.RelayDown{Full: true, AsOf: int64(c.asOf)}
 	for _, item := range c.items {
-		down.Items = append(down.Items, relay.EncodeEvent(kv.Event{Item: item}))
+		down.Items = append(down.Items, relay.EncodeEvent(kv.Event{Item: c.withValue(item)}))
 	}
 	message, err := relay.Encode(down)
 	if err != nil {
@@ -169,6 +170,22 @@
 	return message, true
 }
 
+// withValue returns an item with its value, which an ownership table that was changed in parts does not have.
+func (c *Controller) withValue(item kv.Item) kv.Item {
+	service, isTable := strings.CutPrefix(item.Key, prefixTables)
+	if !isTable || item.Value != nil || c.tables[service] == nil {
+		return item
+	}
+	value, err := c.tables[service].Encode()
+	if err != nil {
+		c.Log.WithError(err).Error("ownership table not passed on; the other gateways read it from the store")
+		return item
+	}
+	item.Value = value
+	c.items[item.Key] = item
+	return item
+}
+
 // broadcast sends a message to all other gateways.
 func (c *Controller) broadcast(down *wire.RelayDown) {
 	message, err := relay.Encode(down)
--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -19,6 +19,10 @@
 // releaseTimeout bounds the wait for running requests to end at a backend server that releases keys.
 const releaseTimeout = 2 * time.Second
 
+// recordPause is the pause after a table could not be recorded: the store may turn this gateway away for a while, and
+// each call is paid for.
+const recordPause = 150 * time.Millisecond
+
 // keepTimeout bounds a renewal of the lease: the others learn soon that this gateway lost the store.
 const keepTimeout = 700 * time.Millisecond
 
@@ -122,6 +126,7 @@
 
 func (c *Controller) notRecorded(service string, a *assignment, item kv.Item, err, readErr error) {
 	a.writing = false
+	a.recordAfter = boottime.Now() + recordPause
 	c.Log.WithError(err).WithField("service", service).Info("ownership table not recorded; trying again")
 	switch {
 	case readErr == nil:
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -58,8 +58,10 @@
 }
 
 const (
-	// tick is how often the goroutine looks at what is due.
-	tick = 25 * time.Millisecond
+	// tick is how often the goroutine looks at what is due while it has something to do, idleTick otherwise: each look
+	// costs processor time.
+	tick     = 25 * time.Millisecond
+	idleTick = 100 * time.Millisecond
 	// eventQueue is the room for what other goroutines report.
 	eventQueue = 1024
 )
@@ -93,6 +95,8 @@
 	// serversChanged counts changes of the backend servers, from 1.
 	serversChanged int
 	dirty          bool
+	// publishedAt is when traffic got its last snapshot; 0 before the first.
+	publishedAt time.Duration
 	// stateShown is when the metrics were last updated.
 	stateShown time.Duration
 	stopping   bool
@@ -139,10 +143,15 @@
 			c.Log.WithError(err).Error("connections of other gateways are not served")
 		}
 	}()
-	ticker := time.NewTicker(tick)
+	ticking := tick
+	ticker := time.NewTicker(ticking)
 	defer ticker.Stop()
 	c.due(ctx)
 	for {
+		if next := c.nextTick(); next != ticking {
+			ticking = next
+			ticker.Reset(ticking)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -155,6 +164,15 @@
 	}
 }
 
+// nextTick returns how long the goroutine may wait for the next event.
+func (c *Controller) nextTick() time.Duration {
+	leader, known := c.election.Leader()
+	if c.dirty || !known || leader.Host == c.Host {
+		return tick
+	}
+	return idleTick
+}
+
 // due does what time has made necessary.
 func (c *Controller) due(ctx context.Context) {
 	now := boottime.Now()
--- a/internal/controller/publish.go
+++ b/internal/controller/publish.go
@@ -8,12 +8,16 @@
 	"github.com/sapphireplank/sapphireplank/internal/snapshot"
 )
 
+// publishPause is the least time between two snapshots: changes often come in quick succession.
+const publishPause = 20 * time.Millisecond
+
 // publish gives traffic a new snapshot if something has changed.
 func (c *Controller) publish() {
-	if !c.dirty {
+	now := c.Clock()
+	if !c.dirty || c.publishedAt > 0 && now < c.publishedAt+publishPause {
 		return
 	}
-	c.dirty = false
+	c.dirty, c.publishedAt = false, now
 	c.Traffic.Publish(c.snapshot())
 	c.ready.Store(c.config != nil)
 }
--- a/internal/controller/source.go
+++ b/internal/controller/source.go
@@ -192,14 +192,9 @@
 		c.source.stopRelay()
 		return
 	}
-	value, err := patched.Encode()
-	if err != nil {
-		c.Log.WithError(err).Error("ownership table cannot be encoded")
-		return
-	}
-	// If this gateway is elected, it passes the value on, and reads what it goes on from, with the former holders, from
-	// the store.
-	c.items[key] = kv.Item{Key: key, Value: value, Revision: kv.Revision(delta.Revision), Created: item.Created}
+	// The value is encoded if this gateway is elected and passes it on. It then reads what it goes on from, with the former
+	// holders, from the store.
+	c.items[key] = kv.Item{Key: key, Revision: kv.Revision(delta.Revision), Created: item.Created}
 	c.tables[delta.Service] = patched
 	c.dirty = true
 }
