--- a/internal/controller/beats.go
+++ b/internal/controller/beats.go
@@ -21,6 +21,9 @@
 	// messagesPerCore is the number of messages a second that the elected gateway exchanges with the others, for each
 	// core that it may use. One takes some 50 us, so this is a tenth of its time.
 	messagesPerCore = 2000
+	// freshShare is the share of the average run time up to which the requests at backend servers hardly change: reports
+	// need not come more often.
+	freshShare = 0.3
 	// freshFor is how long a contact with the store lets the others rely on this gateway.
 	freshFor = 800 * time.Millisecond
 	// spreadWorksEvery is the time between two messages with run times.
@@ -34,6 +37,8 @@
 	nextWorks time.Duration
 	// loads are the requests at each backend server that the other gateways know.
 	loads map[uint32]int
+	// runTime is the average run time of requests; 0 until it was measured.
+	runTime time.Duration
 	// contact is when the store last answered.
 	contact time.Duration
 	// full is all that the store held at fullAsOf, encoded.
@@ -42,11 +47,12 @@
 }
 
 // reportEvery returns the time between two reports of each gateway that an elected gateway with some processor time can
-// take.
-func reportEvery(gateways int, cores float64) time.Duration {
+// take and that the average run time of requests makes necessary.
+func reportEvery(gateways int, cores float64, runTime time.Duration) time.Duration {
 	messages := float64(2 * gateways)
-	interval := time.Duration(messages / (messagesPerCore * max(cores, leastCores)) * float64(time.Second))
-	return min(max(interval, shortestReport), longestReport)
+	bearable := time.Duration(messages / (messagesPerCore * max(cores, leastCores)) * float64(time.Second))
+	useful := time.Duration(freshShare * float64(runTime))
+	return min(max(bearable, useful, shortestReport), longestReport)
 }
 
 // leastCores is the processor time that is assumed where the settings name less.
@@ -75,6 +81,7 @@
 	if now >= c.beats.nextWorks {
 		c.beats.nextWorks = now + spreadWorksEvery
 		works := c.hub.Works()
+		c.beats.runTime = relay.AverageWork(works)
 		c.Traffic.SetWorks(works)
 		down.Works = relay.EncodeWorks(works)
 	}
@@ -82,7 +89,9 @@
 }
 
 // reportEvery returns the time between two reports of each gateway.
-func (c *Controller) reportEvery() time.Duration { return reportEvery(c.hub.Gateways(), c.Cores) }
+func (c *Controller) reportEvery() time.Duration {
+	return reportEvery(c.hub.Gateways(), c.Cores, c.beats.runTime)
+}
 
 // spreadLoads sends how the requests of all gateways at each backend server have changed.
 func (c *Controller) spreadLoads(now time.Duration) {
--- a/internal/entry/trail.go
+++ b/internal/entry/trail.go
@@ -60,8 +60,9 @@
 	if outcome == outcomeServed && f.handler.answered.Add(1)%sampleEvery != 0 {
 		return
 	}
+	now, clock := time.Now(), f.handler.Clock()
 	for _, s := range f.trail.steps {
-		f.entry(s).Info(s.what)
+		f.entry(s).WithTime(now.Add(s.at - clock)).Info(s.what)
 	}
 	f.handler.Log.WithFields(logrus.Fields{
 		"id": f.call.ID, "route": f.route.Name, "outcome": outcome, "status": a.status, "took": took, "sends": f.sends,
--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -107,3 +107,15 @@
 	}
 	return means
 }
+
+// AverageWork returns the average run time over all backend servers, or 0 without measurements.
+func AverageWork(works map[uint32]Work) time.Duration {
+	if len(works) == 0 {
+		return 0
+	}
+	total := time.Duration(0)
+	for _, work := range works {
+		total += work.Mean
+	}
+	return total / time.Duration(len(works))
+}
--- a/internal/timeline/merge/merge.go
+++ b/internal/timeline/merge/merge.go
@@ -36,28 +36,46 @@
 	return &Merger{filter: filter}
 }
 
-// Add reads the records of one file.
-func (m *Merger) Add(file io.Reader) error {
+// Add reads the records of one file, which holds events or the log of a process. Host is that of records without one.
+func (m *Merger) Add(file io.Reader, host string) error {
 	lines := bufio.NewScanner(file)
 	lines.Buffer(nil, maxLineBytes)
 	for lines.Scan() {
-		m.addLine(lines.Bytes())
+		m.addLine(lines.Bytes(), host)
 	}
 	return errors.Wrap(lines.Err(), "read events")
 }
 
-func (m *Merger) addLine(line []byte) {
-	var record timeline.Record
-	if err := json.Unmarshal(line, &record); err != nil || record.At == 0 || record.Kind == "" {
+func (m *Merger) addLine(line []byte, host string) {
+	record, err := parseLine(line)
+	if err != nil {
 		m.result.Malformed++
 		return
 	}
+	if record.Host == "" {
+		record.Host = host
+	}
 	m.result.Read++
 	if m.filter.Match(&record) {
 		m.result.Records = append(m.result.Records, record)
 	}
 }
 
+// errNotEvent means that a document is not an event.
+var errNotEvent = errors.New("not an event; it has no time or kind")
+
+// parseLine reads an event, or a line of a log.
+func parseLine(line []byte) (timeline.Record, error) {
+	var record timeline.Record
+	if err := json.Unmarshal(line, &record); err != nil {
+		return parseLogLine(line)
+	}
+	if record.At == 0 || record.Kind == "" {
+		return timeline.Record{}, errNotEvent
+	}
+	return record, nil
+}
+
 // Timeline returns the records in the order of their hybrid time. Equal times have no causal order; the host decides.
 func (m *Merger) Timeline() Timeline {
 	slices.SortStableFunc(m.result.Records, func(a, b timeline.Record) int {
--- a/internal/timeline/mergecmd/options.go
+++ b/internal/timeline/mergecmd/options.go
@@ -27,7 +27,7 @@
 	Version bool   `long:"version" description:"show the version and end"`
 
 	Positional struct {
-		Files []string `positional-arg-name:"FILE" description:"event files, one per process; - is standard input"`
+		Files []string `positional-arg-name:"FILE" description:"event files or logs, one per process and named after its host; - is standard input"`
 	} `positional-args:"yes"`
 }
 
--- a/internal/timeline/mergecmd/run.go
+++ b/internal/timeline/mergecmd/run.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
@@ -22,7 +24,7 @@
 
 const program = "plank-timeline"
 
-const description = "Merges the event files of several processes into one time line, ordered by hybrid logical time. " +
+const description = "Merges the event files and logs of several processes into one time line, ordered by hybrid logical time. " +
 	"Exit code 0: done, 1: failed, 2: wrong usage."
 
 // Streams are the standard streams of the process.
@@ -72,14 +74,20 @@
 
 func addFile(merger *merge.Merger, name string, in io.Reader) error {
 	if name == "-" {
-		return merger.Add(in)
+		return merger.Add(in, "")
 	}
 	file, err := os.Open(name)
 	if err != nil {
 		return errors.Wrap(err, "open event file")
 	}
 	defer file.Close()
-	return errors.Wrapf(merger.Add(file), "file %q", name)
+	return errors.Wrapf(merger.Add(file, hostOf(name)), "file %q", name)
+}
+
+// hostOf returns the host whose log a file holds, if the file is named after it.
+func hostOf(name string) string {
+	base := filepath.Base(name)
+	return strings.TrimSuffix(base, filepath.Ext(base))
 }
 
 func write(result *merge.Timeline, o *options, out io.Writer) error {
