hopheader: one list of the headers of one connection

entry and backend each had a list and a function that removes them; they differed in the headers of proxy authentication.

--- a/internal/backend/codec_test.go
+++ b/internal/backend/codec_test.go
@@ -1,7 +1,6 @@
 package backend_test
 
 import (
-	"net/http"
 	"testing"
 
 	"github.com/sapphireplank/sapphireplank/internal/backend"
@@ -26,18 +25,3 @@
 		}
 	})
 }
-
-// FuzzStripConnectionHeaders guards against hop-by-hop headers that pass through.
-func FuzzStripConnectionHeaders(f *testing.F) {
-	f.Add("X-A, close", "X-A", "1")
-	f.Add("te", "TE", "trailers")
-	f.Fuzz(func(t *testing.T, connection, name, value string) {
-		h := http.Header{"Connection": {connection}, name: {value}, "Keep": {"1"}}
-		backend.StripConnectionHeaders(h)
-		for _, gone := range []string{"Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade"} {
-			if h.Get(gone) != "" {
-				t.Fatalf("%s is left in %v", gone, h)
-			}
-		}
-	})
-}
--- a/internal/backend/do.go
+++ b/internal/backend/do.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/sapphireplank/sapphireplank/internal/hopheader"
 	"github.com/sapphireplank/sapphireplank/internal/outcome"
 )
 
@@ -73,7 +74,7 @@
 		_ = answer.Body.Close() // the answer is dropped; the problem is what counts
 		return nil, problem
 	}
-	StripConnectionHeaders(answer.Header)
+	hopheader.Remove(answer.Header)
 	answer.Header.Del(HeaderRequestID)
 	return &Response{
 		Status:        answer.StatusCode,
--- a/internal/backend/header.go
+++ b/internal/backend/header.go
@@ -2,8 +2,9 @@
 
 import (
 	"net/http"
-	"net/textproto"
 	"strings"
+
+	"github.com/sapphireplank/sapphireplank/internal/hopheader"
 )
 
 // Headers between a home and a backend server. docs/backend-servers.md specifies them.
@@ -27,24 +28,9 @@
 const (
 	headerIdempotencyKey  = "Idempotency-Key"
 	headerXIdempotencyKey = "X-Idempotency-Key"
-	headerConnection      = "Connection"
 	headerUserAgent       = "User-Agent"
 )
 
-// connectionHeaders holds the headers that concern one connection, not the message (RFC 9110, 7.6.1), and
-// those that net/http derives from the fields of the request.
-var connectionHeaders = map[string]bool{
-	headerConnection:      true,
-	"Keep-Alive":          true,
-	"Proxy-Connection":    true,
-	"Proxy-Authenticate":  true,
-	"Proxy-Authorization": true,
-	"Te":                  true,
-	"Trailer":             true,
-	"Transfer-Encoding":   true,
-	"Upgrade":             true,
-}
-
 // ownHeaders holds the request headers that only the system sets. Values of a caller are dropped.
 var ownHeaders = map[string]bool{
 	HeaderToken:      true,
@@ -59,20 +45,6 @@
 	"Content-Length": true,
 }
 
-// StripConnectionHeaders removes the headers that must not pass from one connection to the next.
-func StripConnectionHeaders(h http.Header) {
-	for _, line := range h[headerConnection] {
-		for name := range strings.SplitSeq(line, ",") {
-			h.Del(textproto.TrimString(name))
-		}
-	}
-	for name := range h {
-		if connectionHeaders[http.CanonicalHeaderKey(name)] {
-			delete(h, name)
-		}
-	}
-}
-
 // requestHeader returns a copy of the caller's headers that may be sent to a backend server.
 func requestHeader(caller http.Header, hide bool) http.Header {
 	out := make(http.Header, len(caller)+len(ownHeaders))
@@ -83,7 +55,7 @@
 		}
 		out[canonical] = values
 	}
-	StripConnectionHeaders(out)
+	hopheader.Remove(out)
 	if _, ok := out[headerUserAgent]; !ok {
 		out[headerUserAgent] = nil // net/http would add its own
 	}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/hopheader"
 )
 
 // answer is what a caller gets.
@@ -16,11 +18,6 @@
 	close bool
 }
 
-// Headers that concern one connection only.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-}
-
 // ownAnswer is an answer of the gateway itself.
 func ownAnswer(status int, text string) *answer {
 	header := http.Header{"Content-Type": {"text/plain; charset=utf-8"}}
@@ -65,14 +62,8 @@
 	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// removeHopHeaders removes the headers that concern one connection only, and those that Connection names.
-func removeHopHeaders(header http.Header) {
-	for _, line := range header["Connection"] {
-		for _, name := range splitList(line) {
-			header.Del(name)
-		}
-	}
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
+// removeOwnHeaders removes the headers that concern one connection only, and the length, which is set anew.
+func removeOwnHeaders(header http.Header) {
+	hopheader.Remove(header)
+	header.Del("Content-Length")
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -124,7 +124,7 @@
 func (f *forward) outgoing(left time.Duration, ticket *dispatch.Ticket) *serverconn.Request {
 	r := f.request.http
 	header := r.Header.Clone()
-	removeHopHeaders(header)
+	removeOwnHeaders(header)
 	f.handler.Headers.Forward(header, left, ticket.Server.ID)
 	return &serverconn.Request{
 		ID:     f.call.ID,
@@ -215,6 +215,6 @@
 // deliver returns the backend server's answer.
 func (f *forward) deliver() *answer {
 	header := f.last.Header
-	removeHopHeaders(header)
+	removeOwnHeaders(header)
 	return &answer{status: f.last.Status, header: header, body: f.last.Body}
 }
--- a/internal/entry/readrequest.go
+++ b/internal/entry/readrequest.go
@@ -89,12 +89,3 @@
 	var netErr net.Error
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr)
 }
-
-// splitList returns the items of a header that holds a list.
-func splitList(line string) []string {
-	items := strings.Split(line, ",")
-	for i := range items {
-		items[i] = strings.TrimSpace(items[i])
-	}
-	return items
-}
