--- /dev/null
+++ b/internal/soak/program.go
@@ -0,0 +1,83 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/sapphireplank/sapphireplank/internal/version"
+)
+
+const program = "plank-soak"
+
+// Exit codes.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+const description = "Plays random faults on gateway processes and checks the promises meanwhile. " +
+	"Exit code 0: no promise was broken, 1: one was, or the run failed, 2: wrong usage."
+
+// commandLine are the options of the program.
+type commandLine struct {
+	Program string        `long:"program" value-name:"FILE" default:"target/plank-entry" description:"gateway program under test"`
+	Seed    uint64        `long:"seed" value-name:"N" default:"1" description:"first seed"`
+	Seeds   uint64        `long:"seeds" value-name:"N" default:"1" description:"number of seeds, played one after the other"`
+	Length  time.Duration `long:"length" value-name:"TIME" default:"20s" description:"how long faults are played for each seed"`
+	Version bool          `long:"version" description:"print the version and exit"`
+}
+
+// Main runs the program with arguments, without the program's name, and returns its exit code.
+func Main(arguments []string, out, errOut io.Writer) int {
+	var options commandLine
+	parser := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = description
+	if _, err := parser.AddGroup("Options", "", &options); err != nil {
+		return fail(errOut, err, exitFailed)
+	}
+	rest, err := parser.ParseArgs(arguments)
+	var help *flags.Error
+	switch {
+	case errors.As(err, &help) && help.Type == flags.ErrHelp:
+		fmt.Fprintln(out, help.Message)
+		return exitDone
+	case err != nil:
+		return fail(errOut, err, exitUsage)
+	case len(rest) > 0:
+		return fail(errOut, errors.Newf("unexpected argument %q; see --help", rest[0]), exitUsage)
+	case options.Version:
+		fmt.Fprintln(out, version.Line(program))
+		return exitDone
+	}
+	code := exitDone
+	for seed := options.Seed; seed < options.Seed+options.Seeds; seed++ {
+		if err := playSeed(options, seed, out); err != nil {
+			code = fail(errOut, err, exitFailed)
+		}
+	}
+	return code
+}
+
+func fail(errOut io.Writer, err error, code int) int {
+	fmt.Fprintf(errOut, "%s: %v\n", program, err)
+	return code
+}
+
+// playSeed plays one seed. The logs of the gateways are kept if it fails.
+func playSeed(options commandLine, seed uint64, out io.Writer) error {
+	directory, err := os.MkdirTemp("", program)
+	if err != nil {
+		return errors.Wrap(err, "make a directory for logs")
+	}
+	err = Run(Options{Program: options.Program, Directory: directory, Seed: seed, Length: options.Length, Output: out})
+	if err != nil {
+		return errors.Wrapf(err, "seed %d, logs in %s", seed, directory)
+	}
+	return os.RemoveAll(directory)
+}
