--- a/internal/dev/program.go
+++ b/internal/dev/program.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"os"
 	"os/signal"
@@ -10,18 +9,10 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/jessevdk/go-flags"
 
 	"github.com/sapphireplank/sapphireplank/examples"
+	"github.com/sapphireplank/sapphireplank/internal/cli"
 	"github.com/sapphireplank/sapphireplank/internal/logging"
-	"github.com/sapphireplank/sapphireplank/internal/version"
-)
-
-// Exit codes.
-const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
 )
 
 // eventDirMode lets the owner write and others read.
@@ -49,36 +40,20 @@
 // Main runs the program and returns its exit code.
 func Main(args []string, out, errOut io.Writer) int {
 	var f flagSet
-	parser := flags.NewParser(&f, flags.HelpFlag|flags.PassDoubleDash)
-	parser.Name = "plank-dev"
-	if _, err := parser.ParseArgs(args); err != nil {
-		return parseFailure(err, out, errOut)
-	}
-	if f.Version {
-		fmt.Fprintln(out, version.Line("plank-dev"))
-		return exitDone
+	p := cli.Program{Name: "plank-dev", Out: out, Err: errOut}
+	if code, ended := p.ParseOnly(args, &f, &f.Version); ended {
+		return code
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	violated, err := run(ctx, f, out)
 	if err != nil {
-		fmt.Fprintf(errOut, "plank-dev: %v\n", err)
-		return exitFailed
+		return p.Fail(err, cli.Failed)
 	}
 	if violated {
-		return exitFailed
-	}
-	return exitDone
-}
-
-func parseFailure(err error, out, errOut io.Writer) int {
-	var flagsErr *flags.Error
-	if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
-		fmt.Fprintln(out, err)
-		return exitDone
+		return cli.Failed
 	}
-	fmt.Fprintf(errOut, "plank-dev: %v\n", err)
-	return exitUsage
+	return cli.Done
 }
 
 func run(ctx context.Context, f flagSet, out io.Writer) (bool, error) {
--- a/internal/gatewaycmd/program.go
+++ b/internal/gatewaycmd/program.go
@@ -14,6 +14,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/sapphireplank/sapphireplank/internal/admin"
+	"github.com/sapphireplank/sapphireplank/internal/cli"
 	"github.com/sapphireplank/sapphireplank/internal/logging"
 	"github.com/sapphireplank/sapphireplank/internal/node"
 	"github.com/sapphireplank/sapphireplank/internal/store"
@@ -23,13 +24,6 @@
 
 const program = "plank-gateway"
 
-// Exit codes.
-const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 // eventFileMode lets the owner write and others read.
 const eventFileMode = 0o644
 
@@ -43,17 +37,17 @@
 func Main(args []string, out, errOut io.Writer) int {
 	settings, done, err := parse(args, out)
 	if done {
-		return exitDone
+		return cli.Done
 	}
 	if err != nil {
 		fmt.Fprintf(errOut, "%s: %v\n", program, err)
-		return exitUsage
+		return cli.Usage
 	}
 	if err := run(settings, out, errOut); err != nil {
 		fmt.Fprintf(errOut, "%s: %v\n", program, err)
-		return exitFailed
+		return cli.Failed
 	}
-	return exitDone
+	return cli.Done
 }
 
 // parse reads the settings file first and then the command line. done is true if there is nothing to run.
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -132,7 +132,11 @@
 		return
 	}
 	server := dialed.(*net.TCPConn)
-	p.track(caller, server)
+	if !p.track(caller, server) {
+		reset(caller)
+		reset(server)
+		return
+	}
 	defer p.untrack(caller, server)
 	var both sync.WaitGroup
 	both.Go(func() { p.pass(caller, server) })
@@ -140,12 +144,17 @@
 	both.Wait()
 }
 
-func (p *Proxy) track(conns ...*net.TCPConn) {
+// track notes connections that a later fault resets. It reports false if they have to be reset now.
+func (p *Proxy) track(conns ...*net.TCPConn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.broken {
+		return false
+	}
 	for _, conn := range conns {
 		p.conns[conn] = struct{}{}
 	}
+	return true
 }
 
 func (p *Proxy) untrack(conns ...*net.TCPConn) {
