--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -31,12 +31,12 @@
 	callerCount = 24
 	// warmUp is how long the deployment has until faults begin, and recovery how long until it has to serve again.
 	warmUp   = 3 * time.Second
-	recovery = 30 * time.Second
+	recovery = 15 * time.Second
 	// faultEvery is the mean time between the beginnings of two faults, most of them at the same time.
 	faultEvery = 900 * time.Millisecond
 	maxFaults  = 3
-	// servedShare is the share of requests that has to be served in checkSpan after the faults.
-	servedShare = 0.9
+	// servedShare is the share of requests that has to be served in checkSpan after the faults, as on the platform.
+	servedShare = 0.25
 	checkSpan   = time.Second
 )
 
