--- a/internal/entrynode/program_test.go
+++ b/internal/entrynode/program_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"github.com/sapphireplank/sapphireplank/internal/cli"
 	"strings"
 	"testing"
 
