--- a/internal/dev/program.go
+++ b/internal/dev/program.go
@@ -23,18 +23,19 @@
 
 // flagSet are the command line options.
 type flagSet struct {
-	Duration   time.Duration `long:"duration" default:"10s" description:"length of the run, as a duration with unit (10s, 1m)"`
-	Deployment []string      `long:"deployment" choice:"moravia" choice:"kyushu" description:"deployment to run; repeat for several (default: both)"`
-	Scale      float64       `long:"scale" default:"0.1" description:"load relative to the slot capacity of the backend servers, without unit"`
-	Heavy      float64       `long:"heavy" default:"1" description:"load of the heavy subscriber on the first service, relative to the scaled capacity, without unit"`
-	Seed       uint64        `long:"seed" default:"1" description:"seed of the random choices of callers and backend servers"`
-	Serve      bool          `long:"serve" description:"stay up, print the addresses, and end on SIGINT or SIGTERM"`
-	Load       bool          `long:"load" description:"with --serve: send load as well, without failures, and print the report at the end"`
-	Platform   bool          `long:"platform" description:"run the store and the backend servers only, for gateways in processes of their own"`
-	StoreAt    string        `long:"store-address" default:"127.0.0.1:7400" description:"with --platform: IP address and port of the first store; each further deployment takes the next port"`
-	Events     string        `long:"events" description:"directory for the event logs of all gateways, one file of JSON lines per host (default: none)"`
-	LogLevels  string        `long:"log" default:"error" description:"log levels, as LEVEL or PART=LEVEL, separated by commas"`
-	Version    bool          `long:"version" description:"print the version and exit"`
+	Duration time.Duration `long:"duration" default:"10s" description:"length of the run, as a duration with unit (10s, 1m)"`
+	//lint:ignore SA5008 go-flags reads one tag for each choice
+	Deployment []string `long:"deployment" choice:"moravia" choice:"kyushu" description:"deployment to run; repeat for several (default: both)"`
+	Scale      float64  `long:"scale" default:"0.1" description:"load relative to the slot capacity of the backend servers, without unit"`
+	Heavy      float64  `long:"heavy" default:"1" description:"load of the heavy subscriber on the first service, relative to the scaled capacity, without unit"`
+	Seed       uint64   `long:"seed" default:"1" description:"seed of the random choices of callers and backend servers"`
+	Serve      bool     `long:"serve" description:"stay up, print the addresses, and end on SIGINT or SIGTERM"`
+	Load       bool     `long:"load" description:"with --serve: send load as well, without failures, and print the report at the end"`
+	Platform   bool     `long:"platform" description:"run the store and the backend servers only, for gateways in processes of their own"`
+	StoreAt    string   `long:"store-address" default:"127.0.0.1:7400" description:"with --platform: IP address and port of the first store; each further deployment takes the next port"`
+	Events     string   `long:"events" description:"directory for the event logs of all gateways, one file of JSON lines per host (default: none)"`
+	LogLevels  string   `long:"log" default:"error" description:"log levels, as LEVEL or PART=LEVEL, separated by commas"`
+	Version    bool     `long:"version" description:"print the version and exit"`
 }
 
 // Main runs the program and returns its exit code.
--- a/internal/timeline/mergecmd/options.go
+++ b/internal/timeline/mergecmd/options.go
@@ -22,6 +22,7 @@
 	Kind    string `long:"kind" value-name:"KIND" description:"only events of this kind, or of all kinds of a part if it ends in a slash, such as cell/ (default: all)"`
 	From    string `long:"from" value-name:"TIME" description:"only events at or after this time, UTC, RFC 3339 with a fraction of a second down to microseconds (default: all)"`
 	To      string `long:"to" value-name:"TIME" description:"only events at or before this time, in the form of --from (default: all)"`
+	//lint:ignore SA5008 go-flags reads one tag for each choice
 	Format  string `long:"format" choice:"text" choice:"html" choice:"json" default:"text" description:"form of the output"`
 	Output  string `long:"output" value-name:"FILE" description:"file for the output (default: standard output)"`
 	Version bool   `long:"version" description:"show the version and end"`
