--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -1,18 +1,30 @@
 package soak
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"syscall"
 	"time"
 )
 
-// fault is one disturbance. It takes as long as the function runs.
+// fault is one disturbance of a part of the deployment. It takes as long as the function runs.
 type fault struct {
 	name string
-	play func() error
+	// target is the part; it has one fault at a time.
+	target string
+	play   func() error
 }
 
+// wholeDeployment is the target of faults that concern all parts alike.
+const wholeDeployment = "all"
+
+// Bounds of random times: of a fault, and of the pause before a process or server starts again.
+const (
+	shortestFault = 300 * time.Millisecond
+	longestFault  = 6 * time.Second
+	shortestPause = 50 * time.Millisecond
+	longestPause  = time.Second
+)
+
 // stretch returns a random time.
 func stretch(random *rand.Rand, least, most time.Duration) time.Duration {
 	return least + time.Duration(random.Int64N(int64(most-least)))
@@ -22,25 +34,24 @@
 func (w *world) draw(random *rand.Rand) fault {
 	g := w.gateways[random.IntN(len(w.gateways))]
 	b := w.backends[random.IntN(len(w.backends))]
-	length := stretch(random, 300*time.Millisecond, 6*time.Second)
-	pause := stretch(random, 50*time.Millisecond, time.Second)
+	length := stretch(random, shortestFault, longestFault)
+	pause := stretch(random, shortestPause, longestPause)
+	server := b.options.ID
 	kinds := []fault{
-		{"stop " + g.name, func() error { return w.pauseGateway(g, length) }},
-		{"kill " + g.name, func() error { return g.restart(syscall.SIGKILL, pause) }},
-		{"end " + g.name, func() error { return g.restart(syscall.SIGTERM, pause) }},
-		{"silent store for " + g.name, func() error { return w.silence(g.store, length) }},
-		{"reset store for " + g.name, func() error { return w.cut(g.store, length) }},
-		{"slow store for " + g.name, func() error { return w.slow(g.store, length) }},
-		{"store away for all", func() error { return w.storeAway(length) }},
-		{"silent server " + b.options.ID, func() error { return w.silence(b.proxy, length) }},
-		{"reset server " + b.options.ID, func() error { return w.cut(b.proxy, length) }},
-		{"slow server " + b.options.ID, func() error { return w.slow(b.proxy, length) }},
-		{"crash server " + b.options.ID, func() error { return b.restart(pause) }},
-		{"new configuration", w.configure},
+		{"process stopped", g.name, func() error { return w.pauseGateway(g, length) }},
+		{"process killed", g.name, func() error { return g.restart(syscall.SIGKILL, pause) }},
+		{"process ended", g.name, func() error { return g.restart(syscall.SIGTERM, pause) }},
+		{"store silent", g.name, func() error { return w.silence(g.store, length) }},
+		{"store reset", g.name, func() error { return w.cut(g.store, length) }},
+		{"store slow", g.name, func() error { return w.slow(g.store, length) }},
+		{"store away", wholeDeployment, func() error { return w.storeAway(length) }},
+		{"server silent", server, func() error { return w.silence(b.proxy, length) }},
+		{"server reset", server, func() error { return w.cut(b.proxy, length) }},
+		{"server slow", server, func() error { return w.slow(b.proxy, length) }},
+		{"server restarted", server, func() error { return b.restart(pause) }},
+		{"new configuration", wholeDeployment, w.configure},
 	}
-	chosen := kinds[random.IntN(len(kinds))]
-	chosen.name = fmt.Sprintf("%s (%v)", chosen.name, length.Round(time.Millisecond))
-	return chosen
+	return kinds[random.IntN(len(kinds))]
 }
 
 // pauseGateway stops a gateway's process for a time.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -92,18 +92,18 @@
 		f := w.draw(random)
 		faults.Go(func() {
 			defer func() { <-running }()
-			// A target has one fault at a time.
-			if !busy.take(f.target()) {
+			if !busy.take(f.target) {
 				return
 			}
-			defer busy.leave(f.target())
-			fmt.Fprintf(options.Output, "%8.3f s  %s\n", time.Since(started).Seconds(), f.name)
+			defer busy.leave(f.target)
+			begun := time.Since(started)
 			if err := f.play(); err != nil {
 				select {
-				case failures <- errors.Wrap(err, f.name):
+				case failures <- errors.Wrapf(err, "%s: %s", f.target, f.name):
 				default:
 				}
 			}
+			fmt.Fprintf(options.Output, "%8.3f to %.3f s  %s: %s\n", begun.Seconds(), time.Since(started).Seconds(), f.target, f.name)
 		})
 		time.Sleep(time.Duration(random.Int64N(int64(2 * faultEvery))))
 	}
--- a/internal/soak/targets.go
+++ b/internal/soak/targets.go
@@ -1,9 +1,6 @@
 package soak
 
-import (
-	"strings"
-	"sync"
-)
+import "sync"
 
 // targets are the parts of the deployment that have a fault. It is safe for concurrent use.
 type targets struct {
@@ -30,14 +27,3 @@
 	defer t.mu.Unlock()
 	delete(t.busy, part)
 }
-
-// target names the part of the deployment that a fault disturbs.
-func (f fault) target() string {
-	fields := strings.Fields(f.name)
-	for _, field := range fields {
-		if strings.HasPrefix(field, "gateway-") || strings.HasPrefix(field, "keyed-") || strings.HasPrefix(field, "once-") {
-			return field
-		}
-	}
-	return "all"
-}
