standin, cli: use the product's ranges of keys and one way to fail

The stand-in of a backend server and the soak's ledger had range checks of their own: they use ownership.Keys now.

--- a/internal/bench/main.go
+++ b/internal/bench/main.go
@@ -18,17 +18,19 @@
 	Version     bool     `long:"version" description:"Print the version and exit"`
 }
 
+const program = "plank-bench"
+
 const longDescription = `Runs named experiments with a seed and prints a table for each. Units are in the tables. ` +
 	`Exit codes: 0 done, 1 an experiment failed, 2 wrong usage.`
 
 // Main runs the program and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	var opts options
-	parser := flags.NewNamedParser("plank-bench", flags.HelpFlag|flags.PassDoubleDash)
+	p := cli.Program{Name: program, Out: stdout, Err: stderr}
+	parser := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = longDescription
 	if err := addOptions(parser, &opts); err != nil {
-		fmt.Fprintf(stderr, "plank-bench: %v\n", err)
-		return cli.Failed
+		return p.Fail(err, cli.Failed)
 	}
 	rest, err := parser.ParseArgs(args)
 	if flags.WroteHelp(err) {
@@ -39,30 +41,28 @@
 		err = fmt.Errorf("unexpected argument %q; name an experiment with --experiment", rest[0])
 	}
 	if err != nil {
-		fmt.Fprintf(stderr, "plank-bench: %v\n", err)
-		return cli.Usage
+		return p.Fail(err, cli.Usage)
 	}
-	return opts.run(stdout, stderr)
+	return opts.run(p)
 }
 
-func (o *options) run(stdout, stderr io.Writer) int {
+func (o *options) run(p cli.Program) int {
 	if o.Version {
 		build := CurrentBuild()
-		fmt.Fprintf(stdout, "plank-bench %s (%s)\n", build.Version, build)
+		fmt.Fprintf(p.Out, program+" %s (%s)\n", build.Version, build)
 		return cli.Done
 	}
 	if o.List {
 		for _, experiment := range Experiments() {
-			fmt.Fprintf(stdout, "%-10s %s\n", experiment.Name, experiment.Summary)
+			fmt.Fprintf(p.Out, "%-10s %s\n", experiment.Name, experiment.Summary)
 		}
 		return cli.Done
 	}
 	chosen, err := o.chosen()
 	if err != nil {
-		fmt.Fprintf(stderr, "plank-bench: %v\n", err)
-		return cli.Usage
+		return p.Fail(err, cli.Usage)
 	}
-	return o.runAll(chosen, stdout, stderr)
+	return o.runAll(chosen, p.Out, p.Err)
 }
 
 // runAll runs experiments until one fails.
--- a/internal/ctl/program.go
+++ b/internal/ctl/program.go
@@ -13,13 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
-)
 
-// Exit codes.
-const (
-	ExitDone   = 0
-	ExitFailed = 1
-	ExitUsage  = 2
+	"github.com/sapphireplank/sapphireplank/internal/cli"
 )
 
 // Program is plankctl with its surroundings, so that tests can replace them.
@@ -78,7 +73,7 @@
 	switch {
 	case err == nil && s.options.Version:
 		fmt.Fprintln(p.Stdout, "plankctl", version())
-		return ExitDone
+		return cli.Done
 	case err == nil && parser.Active == nil && len(rest) > 0:
 		err = usage("there is no command %q; plankctl --help lists all", rest[0])
 	case err == nil && parser.Active == nil:
@@ -111,15 +106,15 @@
 	)
 	switch {
 	case err == nil:
-		return ExitDone
+		return cli.Done
 	case errors.As(err, &byFlags) && byFlags.Type == flags.ErrHelp:
 		fmt.Fprintln(s.program.Stdout, byFlags.Message)
-		return ExitDone
+		return cli.Done
 	case errors.As(err, &byFlags), errors.As(err, &byUsage):
 		s.printError(err)
-		return ExitUsage
+		return cli.Usage
 	default:
 		s.printError(err)
-		return ExitFailed
+		return cli.Failed
 	}
 }
--- a/internal/gatewaycmd/program.go
+++ b/internal/gatewaycmd/program.go
@@ -35,17 +35,16 @@
 
 // Main runs the program and returns its exit code.
 func Main(args []string, out, errOut io.Writer) int {
+	p := cli.Program{Name: program, Out: out, Err: errOut}
 	settings, done, err := parse(args, out)
 	if done {
 		return cli.Done
 	}
 	if err != nil {
-		fmt.Fprintf(errOut, "%s: %v\n", program, err)
-		return cli.Usage
+		return p.Fail(err, cli.Usage)
 	}
 	if err := run(settings, out, errOut); err != nil {
-		fmt.Fprintf(errOut, "%s: %v\n", program, err)
-		return cli.Failed
+		return p.Fail(err, cli.Failed)
 	}
 	return cli.Done
 }
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -118,7 +118,7 @@
 	}
 	for server, holds := range l.holds {
 		for _, hold := range holds {
-			if server != run.Server && run.Key >= hold.First && run.Key <= hold.Last && now.Before(hold.Until) {
+			if server != run.Server && hold.Contains(run.Key) && now.Before(hold.Until) {
 				l.violate("servers %s and %s hold key %d at the same time", run.Server, server, run.Key)
 			}
 		}
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/sapphireplank/sapphireplank/internal/ownership"
 	"github.com/sapphireplank/sapphireplank/platform/standin"
 )
 
@@ -14,7 +15,7 @@
 	run := func(l *Ledger) { l.Began(standin.Run{Server: "a", Request: "r"}) }
 	hold := func(server string, left time.Duration) func(*Ledger) {
 		return func(l *Ledger) {
-			l.Holds(server, []standin.Hold{{Server: server, First: 5, Last: 9, Until: time.Now().Add(left)}})
+			l.Holds(server, []standin.Hold{{Keys: ownership.Keys{First: 5, Last: 9}, Until: time.Now().Add(left)}})
 		}
 	}
 	keyed := func(l *Ledger) {
