controller: drop queued messages of a former elected gateway

Change: the connection number rises when the connection is closed, so they are ignored. Before: the new test panics with a nil pointer. After: it passes.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -19,6 +19,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/relay"
 	"github.com/sapphireplank/sapphireplank/internal/routing"
 	"github.com/sapphireplank/sapphireplank/internal/snapshot"
+	"github.com/sapphireplank/sapphireplank/internal/wire"
 )
 
 const testKeys = 64
@@ -273,3 +274,33 @@
 		t.Fatalf("version %d in force after version 5", version(g2))
 	}
 }
+
+// Guards against messages of a former elected gateway that are applied after an election. A change of a table that it
+// sent made this gateway panic.
+func TestMessagesOfFormerElectedGateway(t *testing.T) {
+	c := New(Options{
+		Host: "g1", Entries: testEntryDecoder{}, Clock: func() time.Duration { return time.Second },
+		Dialer: &net.Dialer{}, Log: logging.Discard().Component("control"), DataPlane: &testDataPlane{t: t},
+	})
+	observeLeader := func(revision kv.Revision, host string) {
+		record, err := json.Marshal(election.Leader{Host: host, Addr: "127.0.0.1:1"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.observeLeader(revision, kv.Item{Key: election.Key, Value: record, Revision: revision, Created: revision})
+		c.connectToLeader(t.Context(), c.Clock())
+	}
+	observeLeader(1, "g2")
+	connectionID := c.source.connectionID
+	observeLeader(2, "g1")
+	stale := []*wire.RelayDown{
+		{Full: true, AsOf: 9, Items: []*wire.RelayItem{relay.EncodeEvent(kv.Event{Item: kv.Item{Key: "old", Value: []byte("x"), Revision: 9}})}},
+		{Tables: []*wire.OwnershipDelta{{Service: "s", Base: 3, Revision: 4}}},
+	}
+	for _, message := range stale {
+		c.handleRelayMessage(connectionID, message)
+	}
+	if c.asOf != 0 {
+		t.Fatalf("contents as of revision %d of a former elected gateway were applied", c.asOf)
+	}
+}
--- a/internal/controller/source.go
+++ b/internal/controller/source.go
@@ -85,6 +85,8 @@
 		if s.stopRelay != nil {
 			s.stopRelay()
 			s.stopRelay = nil
+			// Messages that are still queued were sent before the election.
+			s.connectionID++
 		}
 		s.relayAddr, s.complete, s.redialAt = addr, false, now
 	}
