--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -93,7 +93,7 @@
 	d.view.Store(view)
 }
 
-func (d *testDataPlane) Loads() map[uint32]int                         { return nil }
+func (d *testDataPlane) Loads() map[uint32]int                         { return map[uint32]int{} }
 func (d *testDataPlane) RunTimes() map[uint32]relay.RunTime            { return nil }
 func (d *testDataPlane) SetLoads(map[uint32]int)                       {}
 func (d *testDataPlane) SetRunTimes(runTimes map[uint32]relay.RunTime) {}
--- a/internal/controller/source.go
+++ b/internal/controller/source.go
@@ -23,6 +23,9 @@
 	redialDelay = 400 * time.Millisecond
 	// reportsPerRunTimes is the number of report intervals per report that includes run times.
 	reportsPerRunTimes = 20
+	// maxReportPause is the longest time between two reports, however long the report interval is. The elected gateway
+	// closes a connection without reports.
+	maxReportPause = time.Second
 )
 
 // source is the state of the two sources of updates: the store itself and the elected gateway.
@@ -211,7 +214,7 @@
 // there is nothing to report.
 func (c *Controller) reportCollector() func() *wire.RelayUp {
 	var last map[uint32]int
-	var next time.Duration
+	var next, lastSent time.Duration
 	count := 0
 	return func() *wire.RelayUp {
 		now := c.Clock()
@@ -230,9 +233,10 @@
 			report.Works = relay.EncodeRunTimes(c.DataPlane.RunTimes())
 		}
 		count++
-		if len(report.Keys) == 0 && len(report.Refused) == 0 && !report.HasLoad && !due {
+		if len(report.Keys) == 0 && len(report.Refused) == 0 && !report.HasLoad && !due && now-lastSent < maxReportPause {
 			return nil
 		}
+		lastSent = now
 		return report
 	}
 }
