controller: read an invalid ownership table again

Change: it is read again every 2 s; the log line names the remedy. Before: TestInvalidTableIsReadAgain never ends. After: it passes.

--- a/internal/controller/assign.go
+++ b/internal/controller/assign.go
@@ -26,6 +26,8 @@
 	// drainPinTime is how long after the start of its drain a backend server keeps keys whose release could not be
 	// confirmed.
 	drainPinTime = 1200 * time.Millisecond
+	// reloadDelay is the time until an invalid ownership table is read again.
+	reloadDelay = 2 * time.Second
 	// planPauseFactor is the pause after a plan as a multiple of the time that the plan took, so that a slow host has
 	// time left for renewals.
 	planPauseFactor = 5
@@ -44,6 +46,8 @@
 	// revision is the revision of the recorded table, or 0 if there is none.
 	revision kv.Revision
 	writing  bool
+	// reloadAt is when the table is read again, if it could not be decoded. It is 0 while the table is being loaded.
+	reloadAt time.Duration
 	// recordRetryAt is the earliest time of the next write after a failed one.
 	recordRetryAt time.Duration
 	nextPlanAt    time.Duration
@@ -63,7 +67,7 @@
 			continue
 		}
 		a := c.assigners[name]
-		if a == nil {
+		if a == nil || a.reloadAt > 0 && now >= a.reloadAt {
 			c.loadAssigner(ctx, name)
 			continue
 		}
@@ -107,7 +111,8 @@
 	default:
 		table, err := ownership.DecodeTable(item.Value, c.Ownership.Keys)
 		if err != nil {
-			log.WithError(err).Error("ownership table cannot be read; the service stays without an assigner")
+			log.WithError(err).Error("ownership table is invalid; its keys stay without an owner until it is repaired or deleted")
+			a.reloadAt = now + reloadDelay
 			return
 		}
 		a.assigner = ownership.NewAssignerFromTable(c.Ownership, table, now)
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -232,6 +232,22 @@
 	waitFor(allKnow("a", "c", "d"))
 }
 
+// Guards against a service that stays without owners after an operator has deleted its invalid ownership table.
+func TestInvalidTableIsReadAgain(t *testing.T) {
+	store := kv.NewMemoryStore()
+	put(t, store, "config", routing.Config{Version: 3, Services: map[string]routing.Service{"s": {Name: "s", Sharded: true}}})
+	put(t, store, "servers/a", directory.Server{ID: "a", Service: "s", Addr: "a", Slots: 2})
+	put(t, store, tableKeyPrefix+"s", "not a table")
+	g := startGateway(t, "g1", store, &testOrders{t: t})
+	waitFor(func() bool { return g.dataPlane.view.Load().Routes != nil })
+	// By then the elected gateway has read the table.
+	time.Sleep(300 * time.Millisecond)
+	if _, err := store.Commit(t.Context(), kv.Txn{Deletes: []string{tableKeyPrefix + "s"}}); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(func() bool { return g.owners()["a"] })
+}
+
 // failingStore fails watches and lease renewals while it is unavailable.
 type failingStore struct {
 	kv.Store
