relay: keep the report of a gateway that has reconnected

Cause: the end of a former session removed the reports of the host, also those that a new session had brought meanwhile, and a late report of it replaced a newer one. Change: reports belong to a numbered session; only the latest one counts.

--- a/internal/controller/broadcast.go
+++ b/internal/controller/broadcast.go
@@ -107,13 +107,16 @@
 	c.broadcast(&wire.RelayDown{LoadChanged: true, Load: relay.EncodeLoads(changes)})
 }
 
+// ownSession is the session ID of the reports of this gateway itself.
+const ownSession relay.SessionID = 0
+
 // collectOwnReport adds the report of this gateway itself to those of the others.
 func (c *Controller) collectOwnReport() {
 	report := &wire.RelayUp{
 		HasLoad: true, Load: relay.EncodeLoads(c.DataPlane.Loads()), Works: relay.EncodeRunTimes(c.DataPlane.RunTimes()),
 	}
 	report.Keys, report.Refused = c.reports.drain()
-	c.aggregator.Report(c.Host, report)
+	c.aggregator.Report(c.Host, ownSession, report)
 	c.applyReport(report)
 }
 
@@ -212,15 +215,17 @@
 }
 
 // ReportReceived implements relay.Receiver.
-func (c *Controller) ReportReceived(host string, report *wire.RelayUp) {
-	c.aggregator.Report(host, report)
+func (c *Controller) ReportReceived(session *relay.Session, report *wire.RelayUp) {
+	c.aggregator.Report(session.Host, session.ID, report)
 	if len(report.Keys) > 0 || len(report.Refused) > 0 {
 		c.enqueue(func() { c.applyReport(report) })
 	}
 }
 
 // Disconnected implements relay.Receiver.
-func (c *Controller) Disconnected(session *relay.Session) { c.aggregator.Remove(session.Host) }
+func (c *Controller) Disconnected(session *relay.Session) {
+	c.aggregator.Remove(session.Host, session.ID)
+}
 
 // relayEvents forwards changes of the store to the other gateways if this gateway is the elected one.
 func (c *Controller) relayEvents(events []kv.Event, asOf kv.Revision) {
--- a/internal/relay/aggregator.go
+++ b/internal/relay/aggregator.go
@@ -25,6 +25,8 @@
 
 // gatewayReport is the latest report of one gateway.
 type gatewayReport struct {
+	// session is the ID of the session over which it was received.
+	session  SessionID
 	loads    map[uint32]int
 	runTimes map[uint32]RunTime
 }
@@ -40,13 +42,16 @@
 	return &Aggregator{clock: clock, reports: make(map[string]*gatewayReport), lastSeen: make(map[string]time.Duration)}
 }
 
-// Report stores a report of a gateway.
-func (a *Aggregator) Report(host string, report *wire.RelayUp) {
+// Report stores a report of a gateway. Reports of an earlier session than the latest one are ignored.
+func (a *Aggregator) Report(host string, session SessionID, report *wire.RelayUp) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	latest := a.reports[host]
-	if latest == nil {
-		latest = &gatewayReport{}
+	if latest != nil && latest.session > session {
+		return
+	}
+	if latest == nil || latest.session < session {
+		latest = &gatewayReport{session: session}
 		a.reports[host] = latest
 	}
 	a.lastSeen[host] = a.clock()
@@ -58,11 +63,13 @@
 	}
 }
 
-// Remove drops the reports of a gateway whose connection has ended.
-func (a *Aggregator) Remove(host string) {
+// Remove drops the reports of a gateway whose session has ended, unless it has connected again.
+func (a *Aggregator) Remove(host string, session SessionID) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	delete(a.reports, host)
+	if latest := a.reports[host]; latest != nil && latest.session == session {
+		delete(a.reports, host)
+	}
 }
 
 // Gateways returns the number of gateways that sent a report within gatewayCountRetention.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -29,7 +29,7 @@
 	// the session.
 	Connected(session *Session)
 	// ReportReceived is called for each report.
-	ReportReceived(host string, report *wire.RelayUp)
+	ReportReceived(session *Session, report *wire.RelayUp)
 	// Disconnected is called when a connection has ended.
 	Disconnected(session *Session)
 }
@@ -40,8 +40,9 @@
 	log      *logrus.Entry
 
 	// mu protects the fields below.
-	mu       sync.Mutex
-	sessions map[*Session]struct{}
+	mu          sync.Mutex
+	sessions    map[*Session]struct{}
+	lastSession SessionID
 }
 
 // NewServer returns a server without connections.
@@ -49,8 +50,12 @@
 	return &Server{receiver: receiver, log: log, sessions: make(map[*Session]struct{})}
 }
 
+// SessionID numbers the sessions of a server, starting at 1.
+type SessionID uint64
+
 // Session is the connection to one gateway.
 type Session struct {
+	ID SessionID
 	// Host is the name of the gateway.
 	Host      string
 	conn      net.Conn
@@ -120,14 +125,14 @@
 	defer s.remove(session)
 	s.receiver.Connected(session)
 	defer s.receiver.Disconnected(session)
-	s.receiver.ReportReceived(session.Host, first)
+	s.receiver.ReportReceived(session, first)
 	for {
 		report, err := receive(conn, reader)
 		if err != nil {
 			s.log.WithError(err).WithField("gateway", session.Host).Info("gateway connection closed")
 			return
 		}
-		s.receiver.ReportReceived(session.Host, report)
+		s.receiver.ReportReceived(session, report)
 	}
 }
 
@@ -166,6 +171,8 @@
 func (s *Server) add(session *Session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.lastSession++
+	session.ID = s.lastSession
 	s.sessions[session] = struct{}{}
 }
 
