suspicion: outcomes without information, a failure rate that decays

Change: reading is pure; NoInformation, the zero value, is not counted; Late counts as a failure that tells nothing about responding.

--- a/internal/entry/attemptresult.go
+++ b/internal/entry/attemptresult.go
@@ -62,7 +62,7 @@
 		if hadTime {
 			return suspicion.NoResponse
 		}
-		return suspicion.Failed
+		return suspicion.Late
 	case resultUnknown:
 		return suspicion.ConnectionLost
 	case resultFailed:
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -6,19 +6,27 @@
 // probe would occupy a slot.
 package suspicion
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Outcome is the result of a request as far as the health of its backend server is concerned.
 type Outcome int
 
 const (
+	// NoInformation is a request that was not sent, or whose client left before the response. It is not counted.
+	NoInformation Outcome = iota
 	// OK is a response that does not indicate a server failure.
-	OK Outcome = iota
+	OK
 	// Failed is a response that reports a server failure.
 	Failed
 	// Refused is a response that says the request was not executed. It counts as a failure, because requests are sent
 	// only to servers that are expected to have room.
 	Refused
+	// Late is a request that was not answered within a time limit shorter than the expected response time. It counts as
+	// a failure, but does not tell whether the server responds.
+	Late
 	// ConnectionLost is a connection that closed before the response was complete, or a response that could not be used.
 	ConnectionLost
 	// NoResponse is a request that was not answered in time, or a connection that could not be established.
@@ -44,12 +52,15 @@
 	failureRate         float64
 	consecutiveFailures int
 	suspendedUntil      time.Duration
-	lastUpdate          time.Duration
+	lastObserved        time.Duration
 }
 
 // Observe records the outcome of a request.
 func (t *Tracker) Observe(outcome Outcome, now time.Duration) {
-	t.decay(now)
+	if outcome == NoInformation {
+		return
+	}
+	t.failureRate, t.lastObserved = t.FailureRate(now), now
 	failure := 0.0
 	if outcome != OK {
 		failure = 1
@@ -59,6 +70,7 @@
 	case OK, Failed, Refused:
 		t.consecutiveFailures = 0
 		t.suspendedUntil = 0
+	case NoInformation, Late:
 	case ConnectionLost, NoResponse:
 		t.consecutiveFailures++
 		if t.consecutiveFailures >= suspendThreshold {
@@ -76,20 +88,11 @@
 	return duration
 }
 
-// decay halves the failure rate once per half-life since the last update.
-func (t *Tracker) decay(now time.Duration) {
-	for now-t.lastUpdate >= failureRateHalfLife && t.failureRate > 0.01 {
-		t.failureRate /= 2
-		t.lastUpdate += failureRateHalfLife
-	}
-	t.lastUpdate = max(t.lastUpdate, now)
-}
-
 // Suspended reports whether the server should receive no requests at the given time.
 func (t *Tracker) Suspended(now time.Duration) bool { return now < t.suspendedUntil }
 
-// FailureRate returns the moving average of the failure rate.
+// FailureRate returns the moving average of the failure rate, halved for each half-life since the last outcome.
 func (t *Tracker) FailureRate(now time.Duration) float64 {
-	t.decay(now)
-	return t.failureRate
+	halfLives := (now - t.lastObserved) / failureRateHalfLife
+	return math.Ldexp(t.failureRate, -int(halfLives))
 }
--- a/internal/suspicion/suspicion_test.go
+++ b/internal/suspicion/suspicion_test.go
@@ -56,3 +56,36 @@
 		t.Errorf("failure rate %v a minute later, want at most 0.05", share)
 	}
 }
+
+// Guards against a failure rate that stays high because it is read often.
+func TestFailureRateDecaysWhileRead(t *testing.T) {
+	var often, once Tracker
+	for range 20 {
+		often.Observe(Refused, 0)
+		once.Observe(Refused, 0)
+	}
+	for now := time.Duration(0); now < time.Minute; now += time.Second {
+		often.FailureRate(now)
+	}
+	if a, b := often.FailureRate(time.Minute), once.FailureRate(time.Minute); a != b || a > 0.01 {
+		t.Fatalf("failure rate %v if read every second, %v if read once", a, b)
+	}
+}
+
+// Guards against a server without responses that counts as healthy because clients left, requests were not sent, or had
+// too little time.
+func TestOutcomesWithoutResponse(t *testing.T) {
+	for _, outcome := range []Outcome{NoInformation, Late} {
+		var tracker Tracker
+		tracker.Observe(NoResponse, 0)
+		tracker.Observe(outcome, 0)
+		tracker.Observe(NoResponse, 0)
+		if !tracker.Suspended(0) {
+			t.Errorf("outcome %v counted as a response", outcome)
+		}
+		tracker.Observe(outcome, 0)
+		if !tracker.Suspended(0) {
+			t.Errorf("outcome %v ended the suspension", outcome)
+		}
+	}
+}
