dispatch: count a warm-up once, forget removed services

Change: a choice carries the state by which it was made; a removed service goes with its last queued request. Before: TestRemoveUnlistedServers, extended, finds 1 service left. After: it passes.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -59,6 +59,7 @@
 
 // waiter is a queued request.
 type waiter struct {
+	service *service
 	request *AcquireRequest
 	result  chan waitResult
 }
@@ -99,6 +100,11 @@
 		d.removeUnlistedServers()
 	}
 	d.placeQueued()
+	for name, s := range d.services {
+		if view.Services[name] == nil && len(s.queue) == 0 {
+			delete(d.services, name)
+		}
+	}
 }
 
 // sameSlice reports whether two lists are the same slice; it does not compare elements.
@@ -192,7 +198,7 @@
 	if !admission.ShouldQueue(request.Request, now, c.wait, c.runTime) {
 		return nil, nil, &Refusal{Reason: c.reason, Wait: c.wait}
 	}
-	w := &waiter{request: request, result: make(chan waitResult, 1)}
+	w := &waiter{service: s, request: request, result: make(chan waitResult, 1)}
 	s.queue = append(s.queue, w)
 	d.scheduleQueueCheck()
 	return w, nil, nil
@@ -221,8 +227,7 @@
 			d.releaseSlot(result.reservation)
 		}
 	default:
-		s := d.services[w.request.Service]
-		s.queue = slices.DeleteFunc(s.queue, func(other *waiter) bool { return other == w })
+		w.service.queue = slices.DeleteFunc(w.service.queue, func(other *waiter) bool { return other == w })
 	}
 	return nil, &Refusal{Reason: ReasonClientLeft}
 }
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -183,7 +183,7 @@
 			if err != nil || reservation.Server.ID == "a" {
 				t.Fatalf("reservation %+v, error %v", reservation, err)
 			}
-			d.Done(reservation, Result{})
+			d.Done(reservation, Result{Outcome: suspicion.OK})
 		}
 		d.Update(view(servers[:1]))
 		if _, err := d.Acquire(t.Context(), newRequest(d, 0)); err != nil {
@@ -236,7 +236,30 @@
 	if got := count(&snapshot.Snapshot{Services: map[string]*snapshot.Service{}}); got != 0 {
 		t.Fatalf("%d servers after the service was removed, want 0", got)
 	}
+	if len(d.services) != 0 {
+		t.Fatalf("%d services after the only one was removed", len(d.services))
+	}
 	if got := count(view(both)); got != 2 {
 		t.Fatalf("%d servers after the service was added again, want 2", got)
 	}
 }
+
+// Guards against a reservation that expects a server that is warming up to be slower than the one by which it was
+// chosen.
+func TestWarmupCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDispatcher()
+		server := testServer("a")
+		server.WarmupUntil = time.Hour
+		d.Update(view([]directory.RegisteredServer{server}))
+		request := newRequest(d, 0)
+		reservation, err := d.Acquire(t.Context(), request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		initial := time.Duration(initialRunTimeRatio * float64(request.Target))
+		if want := coldStartFactor * initial; reservation.Expected != want {
+			t.Fatalf("expected response time %v, want %v", reservation.Expected, want)
+		}
+	})
+}
--- a/internal/dispatch/reservation.go
+++ b/internal/dispatch/reservation.go
@@ -49,19 +49,18 @@
 
 // reserve counts a request at the chosen server and returns the reservation.
 func (d *Dispatcher) reserve(s *service, c choice, now time.Duration) *Reservation {
-	state := c.server.state(now, c.runTime, s.meanPeerRequests())
-	wait := state.Wait()
+	wait := c.state.Wait()
 	c.server.ownRequests++
 	peerRequestsAt := max(c.server.peerRequestsAt, c.server.peerLoad.ReportedAt())
 	return &Reservation{
 		Server:       c.server.registered.Server,
 		Token:        c.token,
 		Pool:         c.server.pool,
-		OwnRequests:  state.OwnRequests,
-		PeerRequests: state.PeerRequests,
+		OwnRequests:  c.state.OwnRequests,
+		PeerRequests: c.state.PeerRequests,
 
 		PeerRequestsAge: now - peerRequestsAt,
-		Expected:        state.NetworkCost + wait + c.runTime,
+		Expected:        c.state.NetworkCost + wait + c.runTime,
 		server:          c.server,
 		service:         s,
 		sentAt:          now,
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -53,7 +53,9 @@
 // choice is the result of placing a request.
 type choice struct {
 	server *server
-	token  ownership.Token
+	// state is the state of the server by which it was chosen.
+	state placing.Server
+	token ownership.Token
 	// reason states why no server was chosen.
 	reason Reason
 	// wait is the expected queueing time if no server was chosen.
@@ -97,7 +99,8 @@
 	}
 	candidates.State = state
 	if i := placing.Choose(candidates, placing.Limits{Target: request.Target}, s.random); i >= 0 {
-		return choice{server: s.servers[i], runTime: state(i).RunTime}
+		chosen := state(i)
+		return choice{server: s.servers[i], state: chosen, runTime: chosen.RunTime}
 	}
 	rate := 0.0
 	for _, i := range slices.Concat(candidates.SameZone, candidates.OtherZones) {
@@ -166,7 +169,7 @@
 		return choice{reason: ReasonSuspended, wait: slowMoveWait, runTime: state.RunTime}
 	}
 	if state.HasRoom(placing.Limits{Target: request.Target}) {
-		return choice{server: owner, token: row.Token, runTime: state.RunTime}
+		return choice{server: owner, state: state, token: row.Token, runTime: state.RunTime}
 	}
 	return choice{reason: ReasonFull, wait: waitForRoom(state, ahead), runTime: state.RunTime}
 }
