entrynode: refuse settings that fail only later

Change: numbers are finite, durations bounded and positive where 0 is of no use, log levels parsed; each fault names section, key and remedy.

--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -244,22 +244,25 @@
 	}
 }
 
-// Guards against a reservation that expects a server that is warming up to be slower than the one by which it was
-// chosen.
+// Guards against a reservation that expects a longer queueing time at a server that is warming up than the one by which
+// it was chosen.
 func TestWarmupCountsOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDispatcher()
 		server := testServer("a")
-		server.WarmupUntil = time.Hour
+		server.WarmupUntil, server.Slots = time.Hour, 4
 		d.Update(view([]directory.RegisteredServer{server}))
 		request := newRequest(d, 0)
-		reservation, err := d.Acquire(t.Context(), request)
-		if err != nil {
-			t.Fatal(err)
+		var last *Reservation
+		for range server.Slots + 1 {
+			var err error
+			if last, err = d.Acquire(t.Context(), request); err != nil {
+				t.Fatal(err)
+			}
 		}
-		initial := time.Duration(initialRunTimeRatio * float64(request.Target))
-		if want := coldStartFactor * initial; reservation.Expected != want {
-			t.Fatalf("expected response time %v, want %v", reservation.Expected, want)
+		runTime := coldStartFactor * time.Duration(initialRunTimeRatio*float64(request.Target))
+		if want := runTime + runTime/time.Duration(server.Slots); last.Expected != want {
+			t.Fatalf("expected response time %v, want %v", last.Expected, want)
 		}
 	})
 }
--- a/internal/entrynode/reload.go
+++ b/internal/entrynode/reload.go
@@ -47,7 +47,7 @@
 	n.settings.Store(settings)
 	n.budgets.SetLimits(retryLimits(settings))
 	n.dispatcher.SetDrain(settings.ServerDrain)
-	n.log.Info("settings changed; addresses, names and log levels take effect at the next start")
+	n.log.Info("settings changed; [retries], [servers] drain_ms and [stop] grace_s are in force, all others at the next start")
 }
 
 func retryLimits(s *Settings) retry.WindowLimits {
--- a/internal/entrynode/settings.go
+++ b/internal/entrynode/settings.go
@@ -1,7 +1,6 @@
 package entrynode
 
 import (
-	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -57,13 +56,18 @@
 	// defaultValue is used if the setting is absent or empty. A setting without a default is required.
 	defaultValue string
 	hint         string
-	set          func(*Settings, string) error
+	set          setter
 }
 
+// maxMemoryMB is 1 TB.
+const maxMemoryMB = 1 << 20
+
 const (
 	hintName        = "use a name"
 	hintAddressPort = "use an IP address and port such as 10.0.0.1:8080"
 	hintNonNegative = "use a number of 0 or more"
+	hintPositive    = "use a number above 0"
+	hintPort        = "use a port from 0 to 65535"
 )
 
 // fields lists all settings in the order in which they are printed.
@@ -71,21 +75,21 @@
 	{"host", "name", "", hintName, stringSetter(func(s *Settings) *string { return &s.Host })},
 	{"host", "zone", "", hintName, stringSetter(func(s *Settings) *string { return &s.Zone })},
 	{"host", "address", "", "use an IP address", addressSetter(func(s *Settings) *string { return &s.Address })},
-	{"host", "memory_mb", "256", hintNonNegative, intSetter(func(s *Settings) *int { return &s.MemoryMB })},
-	{"host", "cores", "1", hintNonNegative, floatSetter(func(s *Settings) *float64 { return &s.Cores })},
+	{"host", "memory_mb", "256", "use a whole number of MB from 1 to 1048576", intSetter(1, maxMemoryMB, func(s *Settings) *int { return &s.MemoryMB })},
+	{"host", "cores", "1", hintPositive, positiveFloatSetter(func(s *Settings) *float64 { return &s.Cores })},
 	{"listen", "callers", "", hintAddressPort, addressPortSetter(func(s *Settings) *string { return &s.CallerAddress })},
 	{"listen", "readiness", "", hintAddressPort, addressPortSetter(func(s *Settings) *string { return &s.ReadinessAddress })},
-	{"listen", "internal_ports", "7540,7555", "use the first and last port, separated by a comma", setPortRange},
+	{"listen", "internal_ports", "7540,7555", "use the first and last port, separated by a comma, each from 1 to 65535", setPortRange},
 	{"store", "address", "", hintAddressPort, addressPortSetter(func(s *Settings) *string { return &s.StoreAddress })},
-	{"store", "shortest_lease_ms", "1000", hintNonNegative, durationSetter(time.Millisecond, func(s *Settings) *time.Duration { return &s.ShortestLease })},
+	{"store", "shortest_lease_ms", "1000", hintPositive, positiveDurationSetter(time.Millisecond, func(s *Settings) *time.Duration { return &s.ShortestLease })},
 	{"servers", "drain_ms", "2000", hintNonNegative, durationSetter(time.Millisecond, func(s *Settings) *time.Duration { return &s.ServerDrain })},
 	{"retries", "ratio", "0.1", hintNonNegative, floatSetter(func(s *Settings) *float64 { return &s.RetryRatio })},
-	{"retries", "window_s", "10", hintNonNegative, durationSetter(time.Second, func(s *Settings) *time.Duration { return &s.RetryWindow })},
+	{"retries", "window_s", "10", hintPositive, positiveDurationSetter(time.Second, func(s *Settings) *time.Duration { return &s.RetryWindow })},
 	{"retries", "slack", "20", hintNonNegative, floatSetter(func(s *Settings) *float64 { return &s.RetrySlack })},
-	{"ownership", "longest_grant_ms", "10000", hintNonNegative, durationSetter(time.Millisecond, func(s *Settings) *time.Duration { return &s.LongestGrant })},
+	{"ownership", "longest_grant_ms", "10000", hintPositive, positiveDurationSetter(time.Millisecond, func(s *Settings) *time.Duration { return &s.LongestGrant })},
 	{"stop", "grace_s", "6", hintNonNegative, durationSetter(time.Second, func(s *Settings) *time.Duration { return &s.StopGrace })},
-	{"metrics", "port", "0", hintNonNegative, intSetter(func(s *Settings) *int { return &s.MetricsPort })},
-	{"log", "levels", "info", "use levels such as info or info,entry=debug", stringSetter(func(s *Settings) *string { return &s.LogLevels })},
+	{"metrics", "port", "0", hintPort, intSetter(0, maxPort, func(s *Settings) *int { return &s.MetricsPort })},
+	{"log", "levels", "info", "use levels such as info or info,entry=debug", setLogLevels},
 }
 
 // value is the unparsed text of a setting.
@@ -140,70 +144,3 @@
 	}
 	return settings, nil
 }
-
-func stringSetter(target func(*Settings) *string) func(*Settings, string) error {
-	return func(s *Settings, value string) error {
-		*target(s) = value
-		return nil
-	}
-}
-
-func addressSetter(target func(*Settings) *string) func(*Settings, string) error {
-	return func(s *Settings, value string) error {
-		*target(s) = value
-		_, err := netip.ParseAddr(value)
-		return err
-	}
-}
-
-func addressPortSetter(target func(*Settings) *string) func(*Settings, string) error {
-	return func(s *Settings, value string) error {
-		*target(s) = value
-		_, err := netip.ParseAddrPort(value)
-		return err
-	}
-}
-
-func floatSetter(target func(*Settings) *float64) func(*Settings, string) error {
-	return func(s *Settings, value string) error {
-		parsed, err := strconv.ParseFloat(value, 64)
-		if err != nil || parsed < 0 {
-			return ErrInvalidSetting
-		}
-		*target(s) = parsed
-		return nil
-	}
-}
-
-func intSetter(target func(*Settings) *int) func(*Settings, string) error {
-	return func(s *Settings, value string) error {
-		parsed, err := strconv.Atoi(value)
-		if err != nil || parsed < 0 {
-			return ErrInvalidSetting
-		}
-		*target(s) = parsed
-		return nil
-	}
-}
-
-// durationSetter parses a duration given as a number of units, which may have a fraction.
-func durationSetter(unit time.Duration, target func(*Settings) *time.Duration) func(*Settings, string) error {
-	return func(s *Settings, value string) error {
-		parsed, err := strconv.ParseFloat(value, 64)
-		if err != nil || parsed < 0 {
-			return ErrInvalidSetting
-		}
-		*target(s) = time.Duration(parsed * float64(unit))
-		return nil
-	}
-}
-
-func setPortRange(s *Settings, value string) error {
-	first, last, _ := strings.Cut(value, ",")
-	var err error
-	if s.InternalPorts[0], err = strconv.Atoi(strings.TrimSpace(first)); err != nil {
-		return err
-	}
-	s.InternalPorts[1], err = strconv.Atoi(strings.TrimSpace(last))
-	return err
-}
--- a/internal/entrynode/settings_test.go
+++ b/internal/entrynode/settings_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"gopkg.in/ini.v1"
 )
 
 const validSettings = `[host]
@@ -62,3 +63,42 @@
 		}
 	}
 }
+
+// Guards against values that pass the check and fail later: a number that is none, a window that is divided by, a log
+// level that does not exist.
+func TestUnusableSettings(t *testing.T) {
+	for _, c := range []struct{ section, key, value string }{
+		{"retries", "ratio", "NaN"},
+		{"retries", "ratio", "+Inf"},
+		{"retries", "window_s", "0"},
+		{"retries", "window_s", "1e300"},
+		{"host", "cores", "NaN"},
+		{"host", "memory_mb", "0"},
+		{"store", "shortest_lease_ms", "0"},
+		{"ownership", "longest_grant_ms", "0"},
+		{"metrics", "port", "70000"},
+		{"listen", "internal_ports", "7380"},
+		{"log", "levels", "loud"},
+		{"log", "levels", "entry=loud"},
+	} {
+		_, err := ReadSettings(writeSettingsFile(t, withSetting(t, c.section, c.key, c.value)))
+		if !errors.Is(err, ErrInvalidSetting) || !strings.Contains(err.Error(), "["+c.section+"] "+c.key) || !strings.Contains(err.Error(), ": use ") {
+			t.Errorf("%s = %s: error %v, want section, key and remedy", c.key, c.value, err)
+		}
+	}
+}
+
+// withSetting returns the valid settings with one value replaced.
+func withSetting(t *testing.T, section, key, value string) string {
+	t.Helper()
+	file, err := ini.Load([]byte(validSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	file.Section(section).Key(key).SetValue(value)
+	var text strings.Builder
+	if _, err := file.WriteTo(&text); err != nil {
+		t.Fatal(err)
+	}
+	return text.String()
+}
