ownership, controller: orders that were not executed free their keys

Change: ErrRejected and ErrNotSent do not extend it; a rejection by an address at which another server is registered proves that the holder has terminated.

--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -150,6 +150,9 @@
 			if c.assigners[service] != a {
 				return
 			}
+			if errors.Is(result.Err, ownership.ErrRejected) && c.addressReused(order.Receiver()) {
+				result.Err = errors.WithSecondaryError(ownership.ErrServerReplaced, result.Err)
+			}
 			if result.Err != nil {
 				c.logOrderFailure(service, result)
 			}
@@ -158,6 +161,16 @@
 	}()
 }
 
+// addressReused reports whether another backend server is registered with the address of a holder.
+func (c *Controller) addressReused(holder ownership.Holder) bool {
+	for _, server := range c.directory.Servers() {
+		if server.Addr == holder.Addr && server.ID != holder.ID {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Controller) executeOrder(ctx context.Context, order ownership.Order) ownership.Result {
 	timeout := c.Ownership.OrderTimeout
 	if order.Kind == ownership.OrderRelease {
@@ -182,11 +195,11 @@
 }
 
 func (c *Controller) logOrderFailure(service string, result ownership.Result) {
-	server, keys, token := result.Order.Grant.Server, result.Order.Grant.Keys, result.Order.Grant.Token
+	keys, token := result.Order.Grant.Keys, result.Order.Grant.Token
 	if result.Order.Kind == ownership.OrderRelease {
-		server, keys, token = result.Order.Release.Server, result.Order.Release.Keys, result.Order.Release.Token
+		keys, token = result.Order.Release.Keys, result.Order.Release.Token
 	}
 	c.Log.WithError(result.Err).WithFields(logrus.Fields{
-		"service": service, "order": orderNames[result.Order.Kind], "server": server.ID, "keys": keys, "token": token,
+		"service": service, "order": orderNames[result.Order.Kind], "server": result.Order.Receiver().ID, "keys": keys, "token": token,
 	}).Info("order failed")
 }
--- a/internal/ownership/dueorders.go
+++ b/internal/ownership/dueorders.go
@@ -22,8 +22,17 @@
 	// rowToken and keys identify the row to which the order belongs.
 	rowToken Token
 	keys     Keys
-	// sentAt is when DueOrders returned the order.
-	sentAt time.Duration
+	// sentAt is when DueOrders returned the order. heldBefore is when the earlier grants to the same owner expire.
+	sentAt     time.Duration
+	heldBefore time.Duration
+}
+
+// Receiver returns the holder to which the order is sent.
+func (o Order) Receiver() Holder {
+	if o.Kind == OrderRelease {
+		return o.Release.Server
+	}
+	return o.Grant.Server
 }
 
 // Result is the result of an order.
@@ -99,14 +108,15 @@
 		return Order{}, false
 	}
 	r.inFlight = true
+	order := Order{Kind: OrderGrant, rowToken: r.token, keys: r.keys, sentAt: now, heldBefore: r.heldUntil}
 	// Until the result is known, assume that the grant arrives at the last possible moment.
 	end := now + a.settings.OrderTimeout + a.settings.maxHold()
 	r.heldUntil = max(r.heldUntil, end)
-	grant := Grant{Server: r.owner, Keys: r.keys, Token: r.token, Duration: a.settings.GrantDuration}
+	order.Grant = Grant{Server: r.owner, Keys: r.keys, Token: r.token, Duration: a.settings.GrantDuration}
 	if r.moving {
-		grant.Handover = r.handover()
+		order.Grant.Handover = r.handover()
 	}
-	return Order{Kind: OrderGrant, Grant: grant, rowToken: r.token, keys: r.keys, sentAt: now}, true
+	return order, true
 }
 
 // HandleResult processes the result of an order.
--- a/internal/ownership/errors.go
+++ b/internal/ownership/errors.go
@@ -9,6 +9,8 @@
 	ErrOutcomeUnknown = errors.New("no response from backend server; the order may have been executed and must be sent again")
 	// ErrNotSent means that no byte of an order was sent.
 	ErrNotSent = errors.New("no connection to the backend server; the order was not sent and is sent again")
+	// ErrRejected means that the backend server at the address takes no orders, and has not executed this one.
+	ErrRejected = errors.New("the backend server at the address takes no orders; the order was not executed")
 	// ErrStaleToken means that the backend server has seen a higher fencing token on one of the keys.
 	ErrStaleToken = errors.New("backend server has seen a higher fencing token; a new token must be recorded")
 	// ErrServerReplaced means that another backend server now uses the address, so the intended one has terminated.
--- a/internal/ownership/results.go
+++ b/internal/ownership/results.go
@@ -59,7 +59,9 @@
 		a.MarkTerminated(result.Order.Grant.Server)
 		r.heldUntil, r.unconfirmedUntil = 0, 0
 		r.nextSend = result.At + a.settings.RetryInterval
-	case errors.Is(result.Err, ErrNotSent):
+	case errors.Is(result.Err, ErrNotSent), errors.Is(result.Err, ErrRejected):
+		// Only earlier grants count.
+		r.heldUntil = min(r.heldUntil, result.Order.heldBefore)
 		r.nextSend = result.At + a.settings.RetryInterval
 	default:
 		a.grantUnconfirmed(r, result)
