controller: the elected gateway renews grants while it cannot resign

Change: Resign ends the lease first, without orders meanwhile, and the duties after that; while the call fails it goes on renewing and tries again until the end of the grace period.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -101,7 +101,10 @@
 	publishedAt time.Duration
 	// metricsUpdatedAt is the time of the last update of the metrics.
 	metricsUpdatedAt time.Duration
-	stopping         bool
+	// stopping is set once this gateway is to resign. It does not campaign any more.
+	stopping bool
+	// resigning is set while the end of the election lease is being requested. Meanwhile this gateway sends no orders.
+	resigning bool
 }
 
 // New returns a controller. Run starts it.
@@ -183,16 +186,16 @@
 		c.dirty = true
 		c.serversVersion++
 	}
-	if c.stopping {
+	if c.stopping && c.election.State() != election.StateLeading {
 		return
 	}
 	c.chooseSource(ctx)
 	before := c.election.State()
-	if call, due := c.election.NextCall(now); due {
+	if call, due := c.election.NextCall(now); due && (call.Kind == election.CallRenew || !c.stopping) {
 		c.startElectionCall(ctx, call, now)
 	}
 	c.electionChanged(before)
-	if c.election.State() == election.StateLeading {
+	if c.election.State() == election.StateLeading && !c.resigning {
 		c.runAssigners(ctx, now)
 		c.broadcastDue()
 	}
@@ -233,33 +236,3 @@
 	c.dropAssigners()
 	c.server.CloseAll()
 }
-
-// Resign gives up the election and ends its lease, so that the other gateways need not wait for the lease to expire.
-func (c *Controller) Resign(ctx context.Context) {
-	done := make(chan kv.LeaseID, 1)
-	c.enqueue(func() {
-		var lease kv.LeaseID
-		before := c.election.State()
-		if before == election.StateLeading {
-			lease = c.election.Lease()
-		}
-		c.election.Resign()
-		c.electionChanged(before)
-		c.stopping = true
-		done <- lease
-	})
-	select {
-	case lease := <-done:
-		c.endLease(ctx, lease)
-	case <-ctx.Done():
-	}
-}
-
-func (c *Controller) endLease(ctx context.Context, lease kv.LeaseID) {
-	if lease == 0 {
-		return
-	}
-	if err := c.Store.RevokeLease(ctx, lease); err != nil {
-		c.Log.WithError(err).Info("failed to end the election lease; it will expire")
-	}
-}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -268,6 +268,13 @@
 	return s.Store.RenewLease(ctx, id)
 }
 
+func (s *failingStore) RevokeLease(ctx context.Context, id kv.LeaseID) error {
+	if s.unavailable.Load() {
+		return kv.ErrUnavailable
+	}
+	return s.Store.RevokeLease(ctx, id)
+}
+
 // Guards against gateways that rely on an elected gateway which is partitioned from the store, and against returning to
 // an older configuration.
 func TestElectedGatewayCutOff(t *testing.T) {
--- a/internal/entrynode/stop.go
+++ b/internal/entrynode/stop.go
@@ -19,21 +19,33 @@
 	exitMargin = 300 * time.Millisecond
 	// stopPollInterval is how often a stopping process checks for outstanding requests and open connections.
 	stopPollInterval = 25 * time.Millisecond
-	// resignTimeout bounds the store calls by which a stopping process resigns.
-	resignTimeout = 500 * time.Millisecond
 )
 
+func isClosed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
+}
+
 // shutdown shuts the process down gracefully: running requests finish, client connections are closed after their next
-// response, and idle connections are closed once the load balancer sends no new ones.
+// response, and idle connections are closed once the load balancer sends no new ones. The elected gateway stays until
+// it has resigned, at most until the end of the grace period.
 func (n *Node) shutdown() {
 	started := time.Now()
 	n.stopping.Store(true)
 	n.log.WithField("requests", n.server.InFlight()).Info("stopping")
 	n.server.Drain()
-	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
-	n.controller.Resign(ctx)
-	cancel()
 	end := started.Add(n.settings.Load().StopGrace - exitMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	resigned := make(chan struct{})
+	go func() {
+		defer close(resigned)
+		n.controller.Resign(ctx)
+	}()
 	for time.Now().Before(end) {
 		time.Sleep(stopPollInterval)
 		if time.Since(started) > requestAcceptPeriod {
@@ -46,7 +58,7 @@
 		if time.Until(end) < abortReadsMargin {
 			n.server.AbortReads()
 		}
-		if n.server.Connections() == 0 && n.server.InFlight() == 0 {
+		if n.server.Connections() == 0 && n.server.InFlight() == 0 && isClosed(resigned) {
 			break
 		}
 	}
