ownership: the grace of a former elected gateway does not start anew

Change: the table states the rest of the grace period of each host and its writer, who never renews the grants of former holders; tables of earlier versions stay readable.

--- a/internal/ownership/assigner.go
+++ b/internal/ownership/assigner.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -14,8 +15,8 @@
 	// to the store.
 	lastSeq     uint64
 	recordedSeq uint64
-	// activeHosts holds the hosts whose gateways may still act on an earlier table.
-	activeHosts map[string]bool
+	// activeHosts holds the hosts whose gateways may still act on an earlier table, with the time at which they stop.
+	activeHosts map[string]time.Duration
 	// terminated holds the incarnations of backend servers that are known to have terminated.
 	terminated map[incarnation]bool
 	// successors holds the incarnation that runs at the address of a terminated one. It receives the orders that were
@@ -42,7 +43,7 @@
 	return &Assigner{
 		settings:    settings,
 		nextToken:   nextToken,
-		activeHosts: make(map[string]bool),
+		activeHosts: make(map[string]time.Duration),
 		terminated:  make(map[incarnation]bool),
 		successors:  make(map[incarnation]Holder),
 	}
@@ -52,13 +53,23 @@
 // each row gets a new token: an owner that has seen it refuses further renewals from an earlier assigner.
 func NewAssignerFromTable(settings Settings, table *Table, now time.Duration) *Assigner {
 	a := newAssigner(settings, table.NextToken)
+	// An earlier assigner acts only on the tables that it has recorded: for a while it may still renew the grants of
+	// owners, but not those of former holders. Those that are not fenced may be renewed by the assigners before it.
+	formerDeadline := a.lastExpiry(now)
+	var writerEnd time.Duration
 	for _, host := range table.Hosts {
-		a.activeHosts[host] = true
+		end := now + min(host.Grace, settings.PredecessorGrace)
+		if host.Name == table.Writer {
+			writerEnd = end
+			continue
+		}
+		a.activeHosts[host.Name] = end
 	}
-	// An earlier assigner acts only on the tables that it has recorded: for a while it may still renew the grants of
-	// owners, but not those of former holders.
-	ownerDeadline := now + settings.PredecessorGrace + settings.OrderTimeout + settings.maxHold()
-	formerDeadline := now + settings.OrderTimeout + settings.maxHold()
+	unfencedDeadline := a.lastExpiry(now)
+	if writerEnd > 0 {
+		a.activeHosts[table.Writer] = writerEnd
+	}
+	ownerDeadline := a.lastExpiry(now)
 	for _, row := range table.Rows {
 		state := &rowState{keys: row.Keys, owner: row.Owner, moving: row.Moving}
 		if !row.Owner.IsZero() {
@@ -68,7 +79,7 @@
 		for _, former := range row.Former {
 			end := formerDeadline
 			if former.Unfenced {
-				end = ownerDeadline
+				end = unfencedDeadline
 			}
 			state.formerGrants = append(state.formerGrants, &formerGrant{
 				holder: former.Holder, token: former.Token, heldUntil: end, unconfirmedUntil: end, unfenced: former.Unfenced,
@@ -83,17 +94,23 @@
 	return a
 }
 
+// lastExpiry returns when the last grant expires that an earlier assigner has sent or may still send.
+func (a *Assigner) lastExpiry(now time.Duration) time.Duration {
+	last := now
+	for _, end := range a.activeHosts {
+		last = max(last, end)
+	}
+	return last + a.settings.OrderTimeout + a.settings.maxHold()
+}
+
 // HostStopped records that the gateway on a host no longer acts on an earlier table. Orders that it has already sent
 // may still arrive. Once this holds for all hosts, keys become free when the grants sent so far have expired.
 func (a *Assigner) HostStopped(host string, now time.Duration) {
-	if !a.activeHosts[host] {
+	if _, active := a.activeHosts[host]; !active {
 		return
 	}
 	delete(a.activeHosts, host)
-	if len(a.activeHosts) > 0 {
-		return
-	}
-	end := now + a.settings.OrderTimeout + a.settings.maxHold()
+	end := a.lastExpiry(now)
 	for _, r := range a.rows {
 		if r.inherited {
 			r.heldUntil, r.unconfirmedUntil = min(r.heldUntil, end), min(r.unconfirmedUntil, end)
@@ -120,11 +137,14 @@
 
 // Table returns the table to record, and the sequence number to pass to MarkRecorded once it has been written.
 func (a *Assigner) Table(now time.Duration) (*Table, uint64) {
-	table := &Table{NextToken: a.nextToken, Hosts: []string{a.settings.Host}}
-	for host := range a.activeHosts {
-		table.Hosts = append(table.Hosts, host)
+	writer := ActiveHost{Name: a.settings.Host, Grace: a.settings.PredecessorGrace}
+	table := &Table{NextToken: a.nextToken, Writer: writer.Name, Hosts: []ActiveHost{writer}}
+	for host, end := range a.activeHosts {
+		if now < end {
+			table.Hosts = append(table.Hosts, ActiveHost{Name: host, Grace: end - now})
+		}
 	}
-	slices.Sort(table.Hosts)
+	slices.SortFunc(table.Hosts, func(a, b ActiveHost) int { return cmp.Compare(a.Name, b.Name) })
 	for _, r := range a.rows {
 		table.Rows = append(table.Rows, r.row(now))
 	}
--- /dev/null
+++ b/internal/ownership/assigner_test.go
@@ -0,0 +1,60 @@
+package ownership
+
+import (
+	"testing"
+	"time"
+)
+
+// record encodes and decodes the table of an assigner, as the store does.
+func record(t *testing.T, a *Assigner, now time.Duration) *Table {
+	t.Helper()
+	table, sequence := a.Table(now)
+	value, err := table.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded, err := DecodeTable(value, historySettings.Keys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.MarkRecorded(sequence)
+	return decoded
+}
+
+// Guards against keys of a lost server that are held back longer with each election, because the grace period of a
+// gateway that lost its term long ago starts anew.
+func TestGraceDoesNotStartAnew(t *testing.T) {
+	lost, next := Holder{ID: "lost", Addr: "1"}, Holder{ID: "next", Addr: "2"}
+	all := Keys{First: 0, Last: historySettings.Keys - 1}
+	elect := func(host string, table *Table, now time.Duration) *Assigner {
+		settings := historySettings
+		settings.Host = host
+		return NewAssignerFromTable(settings, table, now)
+	}
+	first := NewAssigner(historySettings)
+	first.Apply([]Move{{Keys: all, To: lost}}, 0)
+	table := record(t, first, 0)
+
+	elected := elect("b", table, 0)
+	elected.Apply([]Move{{Keys: all, To: next}}, 0)
+	const secondElection = 5 * time.Second
+	table = record(t, elected, secondElection)
+	elected = elect("c", table, secondElection)
+	record(t, elected, secondElection)
+
+	end := historySettings.PredecessorGrace + historySettings.OrderTimeout + historySettings.maxHold()
+	granted := func(now time.Duration) bool {
+		for _, order := range elected.DueOrders(now) {
+			if order.Kind == OrderGrant && order.Receiver() == next {
+				return true
+			}
+		}
+		return false
+	}
+	if granted(end - time.Millisecond) {
+		t.Fatal("keys granted while the first elected gateway may have renewed them for the lost server")
+	}
+	if !granted(max(end, secondElection+historySettings.OrderTimeout+historySettings.maxHold()) + time.Millisecond) {
+		t.Fatal("keys not granted after the grace period of the first elected gateway")
+	}
+}
--- a/internal/ownership/codec.go
+++ b/internal/ownership/codec.go
@@ -1,6 +1,9 @@
 package ownership
 
 import (
+	"math"
+	"time"
+
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -31,7 +34,11 @@
 
 // Encode returns the table in its stored form.
 func (t *Table) Encode() ([]byte, error) {
-	message := &wire.OwnershipTable{NextToken: uint64(t.NextToken), Hosts: t.Hosts}
+	message := &wire.OwnershipTable{NextToken: uint64(t.NextToken), Writer: t.Writer}
+	for _, host := range t.Hosts {
+		message.Hosts = append(message.Hosts, host.Name)
+		message.HostGraceMs = append(message.HostGraceMs, uint32((host.Grace + time.Millisecond - 1).Milliseconds()))
+	}
 	holders := holderIndex{message: message, numbers: make(map[Holder]uint32)}
 	for _, row := range t.Rows {
 		encoded := &wire.OwnershipRow{
@@ -57,7 +64,12 @@
 	if err := proto.Unmarshal(value, message); err != nil {
 		return nil, errors.WithSecondaryError(ErrInvalidTable, err)
 	}
-	table := &Table{NextToken: Token(message.NextToken), Hosts: message.Hosts}
+	table := &Table{NextToken: Token(message.NextToken), Writer: message.Writer}
+	hosts, err := decodeHosts(message)
+	if err != nil {
+		return nil, err
+	}
+	table.Hosts = hosts
 	next := 0
 	for _, encoded := range message.Rows {
 		row, err := decodeRow(message, encoded, next)
@@ -77,6 +89,25 @@
 	return table, nil
 }
 
+// unlimitedGrace is the grace period of hosts in tables that do not state it. The reader limits it to its own setting.
+const unlimitedGrace = math.MaxUint32 * time.Millisecond
+
+func decodeHosts(message *wire.OwnershipTable) ([]ActiveHost, error) {
+	stated := len(message.HostGraceMs) > 0
+	if stated && len(message.HostGraceMs) != len(message.Hosts) {
+		return nil, errors.Wrapf(ErrInvalidTable, "%d hosts with %d grace periods", len(message.Hosts), len(message.HostGraceMs))
+	}
+	var hosts []ActiveHost
+	for i, name := range message.Hosts {
+		host := ActiveHost{Name: name, Grace: unlimitedGrace}
+		if stated {
+			host.Grace = time.Duration(message.HostGraceMs[i]) * time.Millisecond
+		}
+		hosts = append(hosts, host)
+	}
+	return hosts, nil
+}
+
 // decodeRow decodes the row whose first key is first.
 func decodeRow(message *wire.OwnershipTable, encoded *wire.OwnershipRow, first int) (Row, error) {
 	row := Row{
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -1,6 +1,9 @@
 package ownership
 
-import "sort"
+import (
+	"sort"
+	"time"
+)
 
 // Token is a fencing token. A backend server refuses a grant whose token is lower than one that it has seen for any of
 // the keys.
@@ -36,8 +39,17 @@
 	// NextToken is higher than every token that was ever recorded.
 	NextToken Token
 	Rows      []Row
-	// Hosts lists the hosts whose gateways may still act on this table or an earlier one.
-	Hosts []string
+	// Hosts lists the hosts whose gateways may still act on this table or an earlier one, sorted by name.
+	Hosts []ActiveHost
+	// Writer is the host of the gateway that wrote the table, or empty if it is not known.
+	Writer string
+}
+
+// ActiveHost is the host of a gateway that is or was the elected one.
+type ActiveHost struct {
+	Name string
+	// Grace is for how long the gateway may still act as the elected one, counted from the time of the table.
+	Grace time.Duration
 }
 
 // Find returns the row that contains the key, or nil.
