entry, serverconn: forward long bodies while they arrive

Cause: bodies were held whole, without a limit on their sum: a few slow or long uploads could take the memory of a host, and a client that went on sending after the last request of a connection was taken for one that had left. Change: a body is held up to body_buffer_kb; the rest is forwarded as it arrives, by length or chunks; all bodies in flight, of requests and responses, share body_memory_percent of the memory (package bytebudget). A body that breaks off resets the connection to the server; one that the server does not read ends at the deadline. The simulated server checks body lengths and may reset when full; the soak plays both.

--- a/internal/entry/attemptresult.go
+++ b/internal/entry/attemptresult.go
@@ -23,13 +23,15 @@
 	resultFailed
 	// resultTimeout means that no response arrived in time. The request may have been executed.
 	resultTimeout
+	// resultBodyBroken means that the body of the request broke off while it was forwarded.
+	resultBodyBroken
 	// resultUnknown means that there is no usable response. The request may have been executed.
 	resultUnknown
 )
 
 // String returns the name of the result in logs and metrics.
 func (r attemptResult) String() string {
-	return [...]string{"answer", "not-sent", "not-run", "failed", "timeout", "unknown"}[r]
+	return [...]string{"answer", "not-sent", "not-run", "failed", "timeout", "body-broken", "unknown"}[r]
 }
 
 // classify returns the result of an attempt.
@@ -37,6 +39,8 @@
 	switch {
 	case errors.Is(err, serverconn.ErrNotSent):
 		return resultNotSent
+	case errors.Is(err, serverconn.ErrRequestBody):
+		return resultBodyBroken
 	case errors.Is(err, serverconn.ErrTimeout):
 		return resultTimeout
 	case err != nil:
@@ -58,6 +62,8 @@
 	switch r {
 	case resultNotSent:
 		return suspicion.NoResponse
+	case resultBodyBroken:
+		return suspicion.NoInformation
 	case resultTimeout:
 		if hadTime {
 			return suspicion.NoResponse
--- a/internal/entry/attempttimer.go
+++ b/internal/entry/attempttimer.go
@@ -23,7 +23,7 @@
 func (f *forwarder) startAttemptTimer(reservation *dispatch.Reservation, cancel context.CancelFunc) *attemptTimer {
 	t := &attemptTimer{}
 	timeout := max(attemptTimeoutFactor*reservation.Expected, attemptTimeoutTargets*f.route.Target)
-	if !f.route.Idempotent || f.sends+1 >= f.route.MaxAttempts || f.timeLeft() < timeout+reservation.Expected {
+	if !f.route.Idempotent || f.request.rest != nil || f.sends+1 >= f.route.MaxAttempts || f.timeLeft() < timeout+reservation.Expected {
 		return t
 	}
 	t.mu.Lock()
--- a/internal/entry/clientconn.go
+++ b/internal/entry/clientconn.go
@@ -40,6 +40,8 @@
 	openRequests int
 	// reading is set while a request is being read.
 	reading bool
+	// lingering is set once the last response has been written.
+	lingering bool
 	// closing is set once a response has announced that the connection closes. No further request is accepted.
 	closing bool
 }
@@ -99,14 +101,23 @@
 		}
 		c.server.inFlight.Add(1)
 		c.pending <- r
-		go func() { r.responded <- c.server.respond(c.ctx, r) }()
-		if r.closeAfter {
+		go c.respond(r)
+		if !r.awaitBody() || r.closeAfter {
 			c.watchDisconnect()
 			return
 		}
 	}
 }
 
+// respond handles a request. If its body has not arrived completely by then, the connection closes after the response.
+func (c *clientConn) respond(r *request) {
+	response := c.server.respond(c.ctx, r)
+	if r.rest != nil && !r.rest.abandon() {
+		response.close = true
+	}
+	r.responded <- response
+}
+
 // awaitRequest waits for the first byte of a request.
 func (c *clientConn) awaitRequest(limits connLimits) bool {
 	// An error also makes the next read fail.
@@ -129,11 +140,12 @@
 	}
 }
 
-// watchDisconnect detects that the client disconnects after its last request.
+// watchDisconnect detects that the client disconnects after its last request. It discards what the client still sends:
+// closing a connection with unread bytes would reset it before the client has read the response.
 func (c *clientConn) watchDisconnect() {
-	_ = c.tcp.SetReadDeadline(time.Time{})
-	c.limited.N = readBufferBytes
+	c.waitForDisconnect()
 	for {
+		c.limited.N = readBufferBytes
 		if _, err := c.reader.ReadByte(); err != nil {
 			if !isTimeout(err) {
 				c.cancel()
@@ -143,6 +155,15 @@
 	}
 }
 
+// waitForDisconnect removes the read deadline unless the last response has been written.
+func (c *clientConn) waitForDisconnect() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lingering {
+		_ = c.tcp.SetReadDeadline(time.Time{})
+	}
+}
+
 // reject responds to a request that could not be read, and closes the connection.
 func (c *clientConn) reject(r *request, failure *response) {
 	if !c.beginRequest() {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -283,7 +283,7 @@
 			Metrics:      observe.New(),
 		}}
 		route := &routing.Route{Name: "read", Idempotent: true, MaxAttempts: 2, Target: time.Millisecond}
-		f := &forwarder{handler: handler, route: route, gateways: 1}
+		f := &forwarder{handler: handler, request: &request{}, route: route, gateways: 1}
 		f.acquireRequest.Deadline = time.Hour
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
--- a/internal/entry/finalresponse.go
+++ b/internal/entry/finalresponse.go
@@ -28,6 +28,8 @@
 // finalResponse returns the response to a request that is not sent again.
 func (f *forwarder) finalResponse() *response {
 	switch {
+	case errors.Is(f.lastErr, errBodyTooLong):
+		return gatewayResponse(http.StatusRequestEntityTooLarge, "body is longer than the limit; send less")
 	case f.lastResult == resultFailed:
 		return f.backendResponse()
 	case !f.mayHaveExecuted:
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -90,6 +90,9 @@
 	// shortTimeout is the timeout of the route whose requests run out of time.
 	shortTimeout = 300 * time.Millisecond
 	budgetSlack  = 3
+	// bodyMemoryBytes and heldBodyBytes are the limits of bodies.
+	bodyMemoryBytes = 4 << 20
+	heldBodyBytes   = 64 << 10
 )
 
 func newFixture(t *testing.T, backends ...*backend) *fixture {
@@ -129,9 +132,12 @@
 		Headers:      testHeaders{},
 		RetryBudgets: NewRetryBudgets(retry.WindowLimits{Window: time.Minute, Ratio: 0, Slack: budgetSlack}, clock),
 		ConnTimeouts: timeouts,
-		ShuttingDown: func() bool { return false },
-		Log:          logging.Discard().Component("entry"),
-		Metrics:      observe.New(),
+
+		BodyMemoryBytes: bodyMemoryBytes,
+		HeldBodyBytes:   heldBodyBytes,
+		ShuttingDown:    func() bool { return false },
+		Log:             logging.Discard().Component("entry"),
+		Metrics:         observe.New(),
 	})
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
--- a/internal/entry/forwarder.go
+++ b/internal/entry/forwarder.go
@@ -51,6 +51,8 @@
 	last *serverconn.Response
 	// lastResult is the result of the last attempt.
 	lastResult attemptResult
+	// lastErr is the error of the last attempt, or nil.
+	lastErr error
 	// retryGranted is set if the next attempt is already counted in the retry budget.
 	retryGranted bool
 }
@@ -117,7 +119,7 @@
 	started := f.handler.Clock()
 	response, err := reservation.Pool.Do(attemptCtx, f.outgoingRequest(left, reservation))
 	timer.stop()
-	f.last, f.lastResult = response, classify(response, err)
+	f.last, f.lastResult, f.lastErr = response, classify(response, err), err
 	f.report(reservation, limit, err, started, ctx.Err() != nil)
 }
 
@@ -127,7 +129,7 @@
 	header := r.Header.Clone()
 	removeConnectionHeaders(header)
 	f.handler.Headers.SetForwarded(header, left, reservation.Server.ID)
-	return &serverconn.Request{
+	request := &serverconn.Request{
 		ID:         f.metadata.ID,
 		Method:     r.Method,
 		URI:        r.RequestURI,
@@ -135,7 +137,12 @@
 		Header:     header,
 		Body:       f.request.body,
 		AtMostOnce: !f.route.Idempotent,
+		Memory:     f.request.memory,
 	}
+	if f.request.rest != nil {
+		request.Rest, request.Length = f.request.rest, r.ContentLength
+	}
+	return request
 }
 
 // report releases the reservation and records the result of the attempt, including what it implies about the backend
@@ -185,7 +192,7 @@
 	case resultResponse:
 		return f.backendResponse()
 	case resultNotSent:
-		if f.unsent < maxUnsent && f.timeLeft() > minTimeLeft {
+		if f.unsent < maxUnsent && f.timeLeft() > minTimeLeft && !f.request.bodyIsGone() {
 			return nil
 		}
 	case resultNotExecuted:
@@ -202,7 +209,7 @@
 
 // allowRetry reports whether another attempt is within the limits and the retry budget. If so, the budget counts it.
 func (f *forwarder) allowRetry() bool {
-	if f.sends >= f.route.MaxAttempts || f.timeLeft() <= minTimeLeft {
+	if f.sends >= f.route.MaxAttempts || f.timeLeft() <= minTimeLeft || f.request.bodyIsGone() {
 		return false
 	}
 	if f.retryGranted {
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/sapphireplank/sapphireplank/internal/bytebudget"
 	"github.com/sapphireplank/sapphireplank/internal/dispatch"
 	"github.com/sapphireplank/sapphireplank/internal/exchange"
 	"github.com/sapphireplank/sapphireplank/internal/netdial"
@@ -36,6 +37,11 @@
 	Dispatcher   *dispatch.Dispatcher
 	Headers      exchange.Headers
 	RetryBudgets *RetryBudgets
+	// BodyMemoryBytes bounds the bodies of all requests and responses in flight.
+	BodyMemoryBytes int64
+	// HeldBodyBytes is the length up to which the body of a request is held, so that the request can be sent again. The
+	// rest of a longer one is forwarded while it arrives.
+	HeldBodyBytes int64
 	// ConnTimeouts holds the timeouts of client connections.
 	ConnTimeouts netdial.Settings
 	// ShuttingDown reports whether the process is shutting down.
@@ -65,6 +71,9 @@
 		timeouts: options.ConnTimeouts,
 		log:      options.Log,
 		conns:    make(map[*clientConn]struct{}),
+
+		memory:        bytebudget.New(options.BodyMemoryBytes),
+		heldBodyBytes: min(options.HeldBodyBytes, options.BodyMemoryBytes),
 	}
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/sapphireplank/sapphireplank/internal/bytebudget"
 	"github.com/sapphireplank/sapphireplank/internal/netdial"
 )
 
@@ -22,6 +23,9 @@
 	limits   func() connLimits
 	timeouts netdial.Settings
 	log      *logrus.Entry
+	// memory bounds the bodies in flight. Of the body of a request, heldBodyBytes are held before it is forwarded.
+	memory        *bytebudget.Budget
+	heldBodyBytes int64
 
 	draining  atomic.Bool
 	rejecting atomic.Bool
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -12,10 +12,13 @@
 		c.server.inFlight.Add(-1)
 		closes := c.endRequest(resp.close || r.closeAfter)
 		if failed || resp.status == statusClientGone {
+			r.memory.Release()
 			continue
 		}
 		resp.close = closes
-		if err := c.writeResponse(r, resp); err != nil {
+		err := c.writeResponse(r, resp)
+		r.memory.Release()
+		if err != nil {
 			failed = true
 			c.cancel()
 			c.stopReading()
@@ -39,6 +42,9 @@
 func (c *clientConn) shutdownWrite() {
 	// An error means that the client has already disconnected.
 	_ = c.tcp.CloseWrite()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lingering = true
 	_ = c.tcp.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -76,6 +76,8 @@
 		Dispatcher:       n.dispatcher,
 		Headers:          adapter.Headers,
 		RetryBudgets:     n.budgets,
+		BodyMemoryBytes:  bodyMemoryBytes(settings),
+		HeldBodyBytes:    int64(settings.BodyBufferKB) * kibibyte,
 		ConnTimeouts:     clientTimeouts,
 		ShuttingDown:     n.stopping.Load,
 		Log:              logs.Component("entry"),
@@ -227,6 +229,11 @@
 	MaxResponseBodyBytes: 16 << 20,
 }
 
+// bodyMemoryBytes returns the limit of the bodies in flight.
+func bodyMemoryBytes(s *Settings) int64 {
+	return int64(s.MemoryMB) * mebibyte / 100 * int64(s.BodyMemoryPercent)
+}
+
 // electionSettings returns the timing of the election.
 func electionSettings(s *Settings) election.Settings {
 	const ttlFactor = 2
--- a/internal/entrynode/program.go
+++ b/internal/entrynode/program.go
@@ -24,6 +24,7 @@
 	memoryLimitRatio = 0.7
 	// gcPercent is the heap growth, in percent, that triggers a garbage collection.
 	gcPercent = 60
+	kibibyte  = 1 << 10
 	mebibyte  = 1 << 20
 )
 
--- a/internal/entrynode/settings.go
+++ b/internal/entrynode/settings.go
@@ -17,6 +17,10 @@
 	Address string
 	// MemoryMB is the memory available to the process.
 	MemoryMB int
+	// BodyMemoryPercent is the share of MemoryMB that the bodies of all requests and responses in flight may take.
+	BodyMemoryPercent int
+	// BodyBufferKB is the length up to which the body of a request is held before it is forwarded.
+	BodyBufferKB int
 	// Cores is the processor time available to the process, in cores.
 	Cores float64
 	// CallerAddress is the listen address for client requests, ReadinessAddress the one for the load balancer's
@@ -76,6 +80,8 @@
 	{"host", "zone", "", hintName, stringSetter(func(s *Settings) *string { return &s.Zone })},
 	{"host", "address", "", "use an IP address", addressSetter(func(s *Settings) *string { return &s.Address })},
 	{"host", "memory_mb", "256", "use a whole number of MB from 1 to 1048576", intSetter(1, maxMemoryMB, func(s *Settings) *int { return &s.MemoryMB })},
+	{"host", "body_memory_percent", "25", "use a whole percentage of memory_mb from 1 to 50", intSetter(1, 50, func(s *Settings) *int { return &s.BodyMemoryPercent })},
+	{"host", "body_buffer_kb", "1024", "use a whole number of KB from 1 to 65536", intSetter(1, 1<<16, func(s *Settings) *int { return &s.BodyBufferKB })},
 	{"host", "cores", "1", hintPositive, positiveFloatSetter(func(s *Settings) *float64 { return &s.Cores })},
 	{"listen", "callers", "", hintAddressPort, addressPortSetter(func(s *Settings) *string { return &s.CallerAddress })},
 	{"listen", "readiness", "", hintAddressPort, addressPortSetter(func(s *Settings) *string { return &s.ReadinessAddress })},
--- a/internal/entrynode/settings_test.go
+++ b/internal/entrynode/settings_test.go
@@ -74,6 +74,8 @@
 		{"retries", "window_s", "1e300"},
 		{"host", "cores", "NaN"},
 		{"host", "memory_mb", "0"},
+		{"host", "body_memory_percent", "51"},
+		{"host", "body_buffer_kb", "0"},
 		{"store", "shortest_lease_ms", "0"},
 		{"ownership", "longest_grant_ms", "0"},
 		{"metrics", "port", "70000"},
--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/sapphireplank/sapphireplank/internal/bytebudget"
 	"github.com/sapphireplank/sapphireplank/internal/exchange"
 )
 
@@ -104,26 +105,33 @@
 	})
 	defer stop()
 	c.reusable = false
-	if len(encoded) <= concurrentWriteBytes {
-		if err := c.write(encoded); err != nil {
-			return nil, err
-		}
-		return c.readMatching(request)
+	switch {
+	case request.Rest != nil:
+		return c.exchangeConcurrently(request, func() error { return c.writeStream(request, encoded) })
+	case len(encoded) > concurrentWriteBytes:
+		return c.exchangeConcurrently(request, func() error { return c.write(encoded) })
+	}
+	if err := c.write(encoded); err != nil {
+		return nil, err
 	}
-	return c.exchangeLarge(request, encoded)
+	return c.readMatching(request)
 }
 
-// exchangeLarge writes the request and reads the response concurrently.
-func (c *conn) exchangeLarge(request *Request, encoded []byte) (*Response, error) {
+// exchangeConcurrently writes the request and reads the response at the same time.
+func (c *conn) exchangeConcurrently(request *Request, write func() error) (*Response, error) {
 	written := make(chan error, 1)
-	go func() { written <- c.write(encoded) }()
+	go func() {
+		err := write()
+		written <- err
+		if errors.Is(err, ErrRequestBody) {
+			// The pending read of the response then fails.
+			c.close()
+		}
+	}()
 	response, err := c.readMatching(request)
 	if err != nil {
 		c.close()
-		if writeErr := <-written; errors.Is(writeErr, ErrNotSent) {
-			return nil, writeErr
-		}
-		return nil, err
+		return nil, c.writeFailure(request, written, err)
 	}
 	select {
 	case err := <-written:
@@ -134,6 +142,27 @@
 	return response, nil
 }
 
+// writeFailure returns the error of an exchange whose response could not be read: that of the write if it tells more.
+// A write that waits for the rest of the body from the client is not waited for.
+func (c *conn) writeFailure(request *Request, written <-chan error, readErr error) error {
+	if request.Rest != nil {
+		select {
+		case err := <-written:
+			return writeErrorFirst(err, readErr)
+		default:
+			return readErr
+		}
+	}
+	return writeErrorFirst(<-written, readErr)
+}
+
+func writeErrorFirst(writeErr, readErr error) error {
+	if errors.Is(writeErr, ErrNotSent) || errors.Is(writeErr, ErrRequestBody) {
+		return writeErr
+	}
+	return readErr
+}
+
 // finishWrite lets the rest of a large request be written after its response, for at most lateWriteTimeout, and then
 // closes the connection.
 func (c *conn) finishWrite(written <-chan error) {
@@ -161,7 +190,7 @@
 // readMatching returns the response to the request. It skips late responses to earlier requests.
 func (c *conn) readMatching(request *Request) (*Response, error) {
 	for {
-		response, keep, err := c.readOne(request.Method)
+		response, keep, err := c.readOne(request)
 		if err != nil {
 			return nil, err
 		}
@@ -180,9 +209,9 @@
 }
 
 // readOne reads one response. It returns nil for an interim (1xx) response.
-func (c *conn) readOne(method string) (*Response, bool, error) {
+func (c *conn) readOne(request *Request) (*Response, bool, error) {
 	c.limited.N = maxHeaderBytes
-	httpResponse, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	httpResponse, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
 	if err != nil {
 		return nil, false, readError(err)
 	}
@@ -191,7 +220,10 @@
 		return nil, true, nil
 	}
 	c.limited.N = c.settings.MaxResponseBodyBytes + 1
-	body, err := io.ReadAll(httpResponse.Body)
+	body, err := readBody(request, httpResponse.Body, c.settings.MaxResponseBodyBytes+1)
+	if errors.Is(err, bytebudget.ErrExhausted) {
+		return nil, false, errors.WithSecondaryError(ErrInvalidResponse, err)
+	}
 	if err != nil {
 		return nil, false, connectionError(err)
 	}
@@ -208,6 +240,14 @@
 	return response, !httpResponse.Close, nil
 }
 
+// readBody reads at most limit bytes of a response body.
+func readBody(request *Request, body io.Reader, limit int64) ([]byte, error) {
+	if request.Memory == nil {
+		return io.ReadAll(io.LimitReader(body, limit))
+	}
+	return request.Memory.ReadAll(body, limit)
+}
+
 // readError distinguishes a lost connection from bytes that are not a valid response.
 func readError(err error) error {
 	var netErr net.Error
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -21,6 +21,8 @@
 	executions map[string]int
 	// atMostOnce maps each request that was sent to whether it must be executed at most once.
 	atMostOnce map[string]bool
+	// bodyBytes is the length of the body of each request that was sent.
+	bodyBytes map[string]int64
 	// refused holds the requests that a client was told have not been and will not be executed.
 	refused    map[string]bool
 	heldRanges map[string][]standin.HeldRange
@@ -34,7 +36,7 @@
 // NewChecker returns an instance without recorded requests.
 func NewChecker() *Checker {
 	return &Checker{
-		executions: make(map[string]int), atMostOnce: make(map[string]bool), refused: make(map[string]bool),
+		executions: make(map[string]int), bodyBytes: make(map[string]int64), atMostOnce: make(map[string]bool), refused: make(map[string]bool),
 		heldRanges: make(map[string][]standin.HeldRange),
 	}
 }
@@ -52,9 +54,10 @@
 }
 
 // RecordRequest records a request before it is sent.
-func (c *Checker) RecordRequest(request string, atMostOnce bool) {
+func (c *Checker) RecordRequest(request string, atMostOnce bool, bodyBytes int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.bodyBytes[request] = bodyBytes
 	c.atMostOnce[request] = atMostOnce
 }
 
@@ -108,6 +111,10 @@
 	case atMostOnce && c.refused[execution.Request]:
 		c.addViolation("server %s executes request %s, which was refused as not executed", execution.Server, execution.Request)
 	}
+	if sent && execution.BodyBytes != c.bodyBytes[execution.Request] {
+		c.addViolation("server %s executes request %s with %d of %d bytes of its body",
+			execution.Server, execution.Request, execution.BodyBytes, c.bodyBytes[execution.Request])
+	}
 	if execution.HasKey {
 		c.checkOwner(execution)
 	}
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -24,6 +24,9 @@
 	testHost  = "soak.example"
 	keyedPath = "/keyed/"
 	oncePath  = "/once/"
+	// One in uploadInterval requests that must be executed at most once has a long body, of up to maxUploadBytes.
+	uploadInterval = 8
+	maxUploadBytes = 90_000
 )
 
 // counts is the number of requests of all clients by outcome.
@@ -91,10 +94,14 @@
 func (c *client) newRequest() (*http.Request, string, error) {
 	atMostOnce := c.random.IntN(2) == 0
 	id := fmt.Sprintf("r%d", c.counts.lastID.Add(1))
-	c.checker.RecordRequest(id, atMostOnce)
 	baseURL := "http://" + c.gateways[c.gatewayIndex%len(c.gateways)].clientAddr
 	if atMostOnce {
-		request, err := http.NewRequest(http.MethodPost, baseURL+oncePath, strings.NewReader("order "+id))
+		body := "order " + id
+		if c.random.IntN(uploadInterval) == 0 {
+			body += strings.Repeat(".", c.random.IntN(maxUploadBytes))
+		}
+		c.checker.RecordRequest(id, atMostOnce, int64(len(body)))
+		request, err := http.NewRequest(http.MethodPost, baseURL+oncePath, strings.NewReader(body))
 		if err != nil {
 			return nil, "", err
 		}
@@ -103,6 +110,7 @@
 		c.setHeaders(request, id)
 		return request, id, nil
 	}
+	c.checker.RecordRequest(id, atMostOnce, 0)
 	request, err := http.NewRequest(http.MethodGet, baseURL+keyedPath, http.NoBody)
 	if err != nil {
 		return nil, "", err
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -105,6 +105,7 @@
 	b, err := startBackend(standin.ServerOptions{
 		ID: fmt.Sprintf("%s-%d", service, index), Service: service, Zone: zoneName(index), Slots: slotsPerBackend, Sharded: sharded,
 		RunTime: runTime, Store: d.store, EntryTTL: serverEntryTTL, Observer: d.checker,
+		ResetWhenFull: index%2 == 1,
 	})
 	if err != nil {
 		return err
--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -32,6 +32,7 @@
 zone = %s
 address = 127.0.0.1
 memory_mb = 256
+body_buffer_kb = 16
 cores = 1
 [listen]
 callers = %s
