ownership: the table states how long former holders may hold their keys

Change: the table has the rest of that time for each former holder. The writer sends no grant to former holders, so it bounds what the next elected gateway has to wait. Before: TestHoldOfFormerHolderDoesNotStartAnew: not granted at 4.63 s. After: passes.

--- a/internal/ownership/assigner_test.go
+++ b/internal/ownership/assigner_test.go
@@ -58,3 +58,32 @@
 		t.Fatal("keys not granted after the grace period of the first elected gateway")
 	}
 }
+
+// Guards against keys in transit that are held back anew by an election, although their former holder has had no grant
+// for long.
+func TestHoldOfFormerHolderDoesNotStartAnew(t *testing.T) {
+	former, next := Holder{ID: "former", Addr: "1"}, Holder{ID: "next", Addr: "2"}
+	all := Keys{First: 0, Last: historySettings.Keys - 1}
+	settings := historySettings
+	settings.Host = "a"
+	first := NewAssigner(settings)
+	first.Apply([]Move{{Keys: all, To: former}}, 0)
+	record(t, first, 0)
+	for _, order := range first.DueOrders(0) {
+		first.HandleResult(Result{Order: order, At: 0})
+	}
+	held := settings.maxHold() + settings.OrderTimeout
+	const movedAt, electedAt = time.Second, 4 * time.Second
+	first.Apply([]Move{{Keys: all, To: next}}, movedAt)
+	record(t, first, movedAt)
+	table := record(t, first, electedAt-time.Millisecond)
+	settings.Host = "b"
+	second := NewAssignerFromTable(settings, table, electedAt)
+	record(t, second, electedAt)
+	for _, order := range second.DueOrders(held + time.Millisecond) {
+		if order.Kind == OrderGrant && order.Receiver() == next {
+			return
+		}
+	}
+	t.Fatalf("keys not granted at %v, when the last grant to the former holder has expired", held)
+}
--- a/internal/ownership/codec.go
+++ b/internal/ownership/codec.go
@@ -37,7 +37,7 @@
 	message := &wire.OwnershipTable{NextToken: uint64(t.NextToken), Writer: t.Writer}
 	for _, host := range t.Hosts {
 		message.Hosts = append(message.Hosts, host.Name)
-		message.HostGraceMs = append(message.HostGraceMs, uint32((host.Grace + time.Millisecond - 1).Milliseconds()))
+		message.HostGraceMs = append(message.HostGraceMs, ceilMilliseconds(host.Grace))
 	}
 	holders := holderIndex{message: message, numbers: make(map[Holder]uint32)}
 	for _, row := range t.Rows {
@@ -50,6 +50,7 @@
 		for _, former := range row.Former {
 			encoded.Former = append(encoded.Former, &wire.OwnershipFormer{
 				Holder: holders.number(former.Holder), Token: uint64(former.Token), Unfenced: former.Unfenced,
+				HeldMs: ceilMilliseconds(former.HeldFor),
 			})
 		}
 		message.Rows = append(message.Rows, encoded)
@@ -58,6 +59,11 @@
 	return value, errors.Wrap(err, "encode ownership table")
 }
 
+// ceilMilliseconds rounds up, because a period that is stated too short would let two servers hold the same keys.
+func ceilMilliseconds(d time.Duration) uint32 {
+	return uint32((d + time.Millisecond - 1).Milliseconds())
+}
+
 // DecodeTable decodes a stored table and checks that it covers the given number of keys.
 func DecodeTable(value []byte, keys int) (*Table, error) {
 	message := &wire.OwnershipTable{}
@@ -129,6 +135,7 @@
 		}
 		row.Former = append(row.Former, FormerHolder{
 			Holder: holder, Token: Token(former.Token), Unfenced: former.Unfenced,
+			HeldFor: time.Duration(former.HeldMs) * time.Millisecond,
 		})
 	}
 	return row, nil
--- a/internal/ownership/formergrant.go
+++ b/internal/ownership/formergrant.go
@@ -21,14 +21,17 @@
 	nextSend time.Duration
 }
 
-// resolved reports whether the former holder can no longer hold the keys.
-func (g *formerGrant) resolved(now time.Duration) bool {
-	if now >= g.heldUntil {
-		return true
+// resolvedAt returns when the former holder can no longer hold the keys, as far as is known.
+func (g *formerGrant) resolvedAt() time.Duration {
+	if g.released {
+		return min(g.heldUntil, g.unconfirmedUntil)
 	}
-	return g.released && now >= g.unconfirmedUntil
+	return g.heldUntil
 }
 
+// resolved reports whether the former holder can no longer hold the keys.
+func (g *formerGrant) resolved(now time.Duration) bool { return now >= g.resolvedAt() }
+
 // awaits reports whether an order with this token, sent to this server, is in flight. The server may have restarted
 // since then, so incarnations are not compared; the token is unique among the former grants of a row.
 func (g *formerGrant) awaits(server Holder, token Token) bool {
--- a/internal/ownership/row.go
+++ b/internal/ownership/row.go
@@ -49,7 +49,9 @@
 	row := Row{Keys: r.keys, Owner: r.owner, Token: r.token, Moving: r.moving, Confirmed: now >= r.unconfirmedUntil}
 	for _, g := range r.formerGrants {
 		if !g.resolved(now) {
-			row.Former = append(row.Former, FormerHolder{Holder: g.holder, Token: g.token, Unfenced: g.unfenced})
+			row.Former = append(row.Former, FormerHolder{
+				Holder: g.holder, Token: g.token, Unfenced: g.unfenced, HeldFor: g.resolvedAt() - now,
+			})
 		}
 	}
 	return row
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -32,6 +32,9 @@
 	// Unfenced is true if the holder has not confirmed a grant of the assigner that moved the keys away, so that an
 	// assigner elected earlier may still renew its grant.
 	Unfenced bool
+	// HeldFor is for how long the holder may still hold the keys, counted from the time of the table. It is 0 if the table
+	// does not state it.
+	HeldFor time.Duration
 }
 
 // Table is the recorded ownership of the keys of one service. Its rows are sorted and cover every key.
