ownership: a release frees the keys in transit also after an election

Cause: the next elected gateway did not know whether a grant to a former holder had an unknown outcome, so it waited for its expiry even if the holder had confirmed a release. Change: the table states for how long such a grant may still take effect. Before: TestReleaseAfterElectionFreesKeys: not granted after the release. After: passes.

--- a/internal/ownership/assigner.go
+++ b/internal/ownership/assigner.go
@@ -81,13 +81,7 @@
 			if former.Unfenced {
 				end = unfencedDeadline
 			}
-			if former.HeldFor > 0 {
-				// The assigner that wrote the table has sent no grants to former holders since then.
-				end = min(end, now+former.HeldFor)
-			}
-			state.formerGrants = append(state.formerGrants, &formerGrant{
-				holder: former.Holder, token: former.Token, heldUntil: end, unconfirmedUntil: end, unfenced: former.Unfenced,
-			})
+			state.formerGrants = append(state.formerGrants, former.grant(now, end))
 		}
 		state.token = a.newToken()
 		a.markChanged(state)
--- a/internal/ownership/assigner_test.go
+++ b/internal/ownership/assigner_test.go
@@ -87,3 +87,32 @@
 	}
 	t.Fatalf("keys not granted at %v, when the last grant to the former holder has expired", held)
 }
+
+// Guards against keys in transit that are held back until a grant expires, although their former holder has confirmed
+// its last grant and a release.
+func TestReleaseAfterElectionFreesKeys(t *testing.T) {
+	former, next := Holder{ID: "former", Addr: "1"}, Holder{ID: "next", Addr: "2"}
+	all := Keys{First: 0, Last: historySettings.Keys - 1}
+	settings := historySettings
+	settings.Host = "a"
+	first := NewAssigner(settings)
+	first.Apply([]Move{{Keys: all, To: former}}, 0)
+	record(t, first, 0)
+	for _, order := range first.DueOrders(0) {
+		first.HandleResult(Result{Order: order, At: 0})
+	}
+	const now = time.Second
+	first.Apply([]Move{{Keys: all, To: next}}, now)
+	settings.Host = "b"
+	second := NewAssignerFromTable(settings, record(t, first, now), now)
+	record(t, second, now)
+	for _, order := range second.DueOrders(now) {
+		second.HandleResult(Result{Order: order, At: now})
+	}
+	for _, order := range second.DueOrders(now) {
+		if order.Kind == OrderGrant && order.Receiver() == next {
+			return
+		}
+	}
+	t.Fatal("keys not granted after the former holder has released them")
+}
--- a/internal/ownership/codec.go
+++ b/internal/ownership/codec.go
@@ -50,7 +50,7 @@
 		for _, former := range row.Former {
 			encoded.Former = append(encoded.Former, &wire.OwnershipFormer{
 				Holder: holders.number(former.Holder), Token: uint64(former.Token), Unfenced: former.Unfenced,
-				HeldMs: ceilMilliseconds(former.HeldFor),
+				HeldMs: ceilMilliseconds(former.HeldFor), UnconfirmedMs: ceilMilliseconds(former.UnconfirmedFor),
 			})
 		}
 		message.Rows = append(message.Rows, encoded)
@@ -135,7 +135,8 @@
 		}
 		row.Former = append(row.Former, FormerHolder{
 			Holder: holder, Token: Token(former.Token), Unfenced: former.Unfenced,
-			HeldFor: time.Duration(former.HeldMs) * time.Millisecond,
+			HeldFor:        time.Duration(former.HeldMs) * time.Millisecond,
+			UnconfirmedFor: time.Duration(former.UnconfirmedMs) * time.Millisecond,
 		})
 	}
 	return row, nil
--- a/internal/ownership/formergrant.go
+++ b/internal/ownership/formergrant.go
@@ -21,6 +21,19 @@
 	nextSend time.Duration
 }
 
+// grant returns the grant of a former holder in a recorded table. deadline is when it has expired even if the table does
+// not state it. The assigner that wrote the table has sent no grants to former holders since then.
+func (h FormerHolder) grant(now, deadline time.Duration) *formerGrant {
+	g := &formerGrant{
+		holder: h.Holder, token: h.Token, unfenced: h.Unfenced, heldUntil: deadline, unconfirmedUntil: deadline,
+	}
+	if h.HeldFor > 0 {
+		g.heldUntil = min(deadline, now+h.HeldFor)
+		g.unconfirmedUntil = min(deadline, now+h.UnconfirmedFor)
+	}
+	return g
+}
+
 // resolvedAt returns when the former holder can no longer hold the keys, as far as is known.
 func (g *formerGrant) resolvedAt() time.Duration {
 	if g.released {
--- a/internal/ownership/row.go
+++ b/internal/ownership/row.go
@@ -51,6 +51,7 @@
 		if !g.resolved(now) {
 			row.Former = append(row.Former, FormerHolder{
 				Holder: g.holder, Token: g.token, Unfenced: g.unfenced, HeldFor: g.resolvedAt() - now,
+				UnconfirmedFor: max(0, g.unconfirmedUntil-now),
 			})
 		}
 	}
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -35,6 +35,9 @@
 	// HeldFor is for how long the holder may still hold the keys, counted from the time of the table. It is 0 if the table
 	// does not state it.
 	HeldFor time.Duration
+	// UnconfirmedFor is for how long a grant with an unknown outcome may still take effect. Once it is over, the keys are
+	// free as soon as the holder confirms a release.
+	UnconfirmedFor time.Duration
 }
 
 // Table is the recorded ownership of the keys of one service. Its rows are sorted and cover every key.
