election: withdraw the record of an earlier process on the same host

Change: a gateway that finds a record of its own host and is not elected removes it, on the condition of its revision, so that any gateway can campaign.

--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -36,6 +36,11 @@
 			c.enqueue(func() { c.leaseRenewed(err, started) })
 			return
 		}
+		if call.Kind == election.CallWithdraw {
+			err := c.withdraw(ctx, call.Revision)
+			c.enqueue(func() { c.withdrawalDone(call.Revision, err) })
+			return
+		}
 		result, err := c.campaign(ctx, call.Value)
 		c.enqueue(func() { c.campaignDone(result, err, started) })
 	}()
@@ -52,6 +57,25 @@
 	c.electionChanged(before)
 }
 
+// withdraw removes the record of an earlier process on this host, so that the others need not wait for its lease.
+func (c *Controller) withdraw(ctx context.Context, revision kv.Revision) error {
+	_, err := c.Store.Commit(ctx, kv.Txn{
+		Conditions: []kv.Condition{{Key: election.Key, Revision: revision}},
+		Deletes:    []string{election.Key},
+	})
+	return err
+}
+
+func (c *Controller) withdrawalDone(revision kv.Revision, err error) {
+	c.election.WithdrawalDone()
+	log := c.Log.WithField("term", revision)
+	if err != nil {
+		log.WithError(err).Info("failed to withdraw the record of an earlier process on this host; it will expire")
+		return
+	}
+	log.Info("withdrew the record of an earlier process on this host")
+}
+
 func (c *Controller) campaignDone(result election.CampaignResult, err error, started time.Duration) {
 	c.election.CampaignDone(result, err, started, boottime.Now())
 	if err != nil {
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -248,6 +248,31 @@
 	waitFor(func() bool { return g.owners()["a"] })
 }
 
+// Guards against keys that are not managed until the lease of an elected gateway has expired, although it has been
+// killed and runs again.
+func TestElectedGatewayRestarts(t *testing.T) {
+	store := kv.NewMemoryStore()
+	orders := &testOrders{t: t}
+	put(t, store, "config", routing.Config{Version: 3, Services: map[string]routing.Service{"s": {Name: "s", Sharded: true}}})
+	put(t, store, "servers/a", directory.Server{ID: "a", Service: "s", Addr: "a", Slots: 2})
+	first := startGateway(t, "g1", store, orders)
+	waitFor(func() bool { return first.owners()["a"] })
+	record, err := store.Get(t.Context(), election.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.stop()
+	stopped := time.Now()
+	startGateway(t, "g1", store, orders)
+	waitFor(func() bool {
+		item, err := store.Get(t.Context(), election.Key)
+		return err == nil && item.Created != record.Created
+	})
+	if took := time.Since(stopped); took > first.Election.TTL/2 {
+		t.Fatalf("elected again after %v, the lease lasts %v", took, first.Election.TTL)
+	}
+}
+
 // failingStore fails watches and lease renewals while it is unavailable.
 type failingStore struct {
 	kv.Store
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -60,6 +60,8 @@
 	CallCampaign CallKind = iota
 	// CallRenew renews the lease.
 	CallRenew
+	// CallWithdraw removes the leader record of an earlier process on this host, if its revision is still Revision.
+	CallWithdraw
 )
 
 // Call is a store call for the caller to execute.
@@ -67,6 +69,8 @@
 	Kind  CallKind
 	Lease kv.LeaseID
 	Value []byte
+	// Revision is the revision of the record to withdraw.
+	Revision kv.Revision
 }
 
 // CampaignResult is the result of a successful campaign.
@@ -94,6 +98,8 @@
 	callInFlight bool
 	nextRenewal  time.Duration
 	confirmedAt  time.Duration
+	// nextWithdrawal is the earliest time of the next attempt to withdraw a record.
+	nextWithdrawal time.Duration
 }
 
 // New returns an election in the following state.
@@ -150,6 +156,9 @@
 func (e *Election) NextCall(now time.Duration) (Call, bool) {
 	switch e.State() {
 	case StateFollowing:
+		if call, due := e.withdrawal(now); due {
+			return call, true
+		}
 		if !e.observed || e.leaderRevision > 0 || e.callInFlight || now-e.absentSince < e.settings.CampaignDelay {
 			return Call{}, false
 		}
@@ -176,6 +185,23 @@
 	return Call{}, false
 }
 
+// withdrawRetryDelay is the delay after a failed attempt to withdraw a record.
+const withdrawRetryDelay = 300 * time.Millisecond
+
+// withdrawal returns the call that removes the record of an earlier process on this host, if there is one. That process
+// has ended, or this one has given up its role, so nobody acts under the record.
+func (e *Election) withdrawal(now time.Duration) (Call, bool) {
+	if e.leaderRevision == 0 || e.leader.Host != e.self.Host || e.callInFlight || now < e.nextWithdrawal {
+		return Call{}, false
+	}
+	e.callInFlight = true
+	e.nextWithdrawal = now + withdrawRetryDelay
+	return Call{Kind: CallWithdraw, Revision: e.leaderRevision}, true
+}
+
+// WithdrawalDone processes the end of a withdrawal call. Its success shows when the record is observed to be missing.
+func (e *Election) WithdrawalDone() { e.callInFlight = false }
+
 // CampaignDone processes the result of a campaign call. started is when the call was issued.
 func (e *Election) CampaignDone(won CampaignResult, err error, started, now time.Duration) {
 	e.callInFlight = false
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -102,3 +102,43 @@
 		t.Errorf("state %s after a lost campaign", e.State())
 	}
 }
+
+// Guards against a wait for the lease of a record that an earlier process on this host left, and against the removal of
+// a record under which somebody acts.
+func TestWithdrawsRecordOfOwnHost(t *testing.T) {
+	withdraws := func(e *Election, now time.Duration) bool {
+		call, due := e.NextCall(now)
+		return due && call.Kind == CallWithdraw && call.Revision == 7
+	}
+	e := New(testSettings, Leader{Host: "a"})
+	if err := e.Observe(time.Second, 9, 7, []byte(`{"host":"b"}`)); err != nil {
+		t.Fatal(err)
+	}
+	if withdraws(e, time.Minute) {
+		t.Error("withdrew the record of another host")
+	}
+	e = New(testSettings, Leader{Host: "a"})
+	if err := e.Observe(time.Second, 9, 7, []byte(`{"host":"a"}`)); err != nil {
+		t.Fatal(err)
+	}
+	if !withdraws(e, time.Second) {
+		t.Error("did not withdraw the record of an earlier process")
+	}
+	if withdraws(e, time.Second) {
+		t.Error("withdrew the record while the first call was in progress")
+	}
+	e.WithdrawalDone()
+	if withdraws(e, time.Second) {
+		t.Error("tried again without a delay")
+	}
+	if !withdraws(e, time.Second+withdrawRetryDelay) {
+		t.Error("did not try again")
+	}
+	leader := newLeader(t)
+	for now := time.Second; now < 3*time.Second; now += 100 * time.Millisecond {
+		if call, due := leader.NextCall(now); due && call.Kind == CallWithdraw {
+			t.Fatal("withdrew its own record while elected")
+		}
+		leader.RenewalDone(nil, now)
+	}
+}
