suspicion: a lost connection is weaker evidence than silence

Cause: two lost connections in a row suspended a server for 250 ms, doubling with each further one. Change: a request without an answer, or without a connection, weighs 4 lost connections; a server that is gone still is suspended after two requests that reach nobody.

--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -28,6 +28,7 @@
 	// a failure, but does not tell whether the server responds.
 	Late
 	// ConnectionLost is a connection that closed before the response was complete, or a response that could not be used.
+	// The server runs; some servers reset connections while they are full.
 	ConnectionLost
 	// NoResponse is a request that was not answered in time, or a connection that could not be established.
 	NoResponse
@@ -36,9 +37,10 @@
 const (
 	// failureSmoothing is the weight of the newest outcome in the moving average of the failure rate.
 	failureSmoothing = 0.12
-	// suspendThreshold is the number of consecutive lost connections and timeouts after which a server is
-	// suspended.
-	suspendThreshold = 2
+	// suspendThreshold is the weight of consecutive requests without a response from which a server is suspended. A
+	// request that was not answered weighs noResponseWeight, a lost connection 1.
+	suspendThreshold = 2 * noResponseWeight
+	noResponseWeight = 4
 	// initialSuspension is the length of the first suspension. It doubles with each further consecutive failure,
 	// up to maxSuspension.
 	initialSuspension = 250 * time.Millisecond
@@ -49,10 +51,13 @@
 
 // Tracker holds the failure statistics of one backend server. The zero value is a server without failures.
 type Tracker struct {
-	failureRate         float64
-	consecutiveFailures int
-	suspendedUntil      time.Duration
-	lastObserved        time.Duration
+	failureRate float64
+	// weight is the weight of the requests without a response since the last one. suspensions counts the suspensions in
+	// a row.
+	weight         int
+	suspensions    int
+	suspendedUntil time.Duration
+	lastObserved   time.Duration
 }
 
 // Observe records the outcome of a request.
@@ -68,14 +73,22 @@
 	t.failureRate += failureSmoothing * (failure - t.failureRate)
 	switch outcome {
 	case OK, Failed, Refused:
-		t.consecutiveFailures = 0
+		t.weight, t.suspensions = 0, 0
 		t.suspendedUntil = 0
 	case NoInformation, Late:
-	case ConnectionLost, NoResponse:
-		t.consecutiveFailures++
-		if t.consecutiveFailures >= suspendThreshold {
-			t.suspendedUntil = now + suspensionAfter(t.consecutiveFailures-suspendThreshold)
-		}
+	case ConnectionLost:
+		t.addWeight(1, now)
+	case NoResponse:
+		t.addWeight(noResponseWeight, now)
+	}
+}
+
+// addWeight adds a request without a response, and suspends the server from suspendThreshold.
+func (t *Tracker) addWeight(weight int, now time.Duration) {
+	t.weight += weight
+	if t.weight >= suspendThreshold {
+		t.suspendedUntil = now + suspensionAfter(t.suspensions)
+		t.suspensions++
 	}
 }
 
