--- a/internal/bytebudget/budget_test.go
+++ b/internal/bytebudget/budget_test.go
@@ -1,8 +1,10 @@
 package bytebudget
 
 import (
+	"io"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"github.com/cockroachdb/errors"
 )
@@ -32,3 +34,11 @@
 		t.Fatalf("%d bytes read with a limit of 10, %d reserved, %v", len(read), budget.Reserved(), err)
 	}
 }
+
+// Guards against a body that broke off and is taken for complete.
+func TestBrokenBody(t *testing.T) {
+	body := io.MultiReader(strings.NewReader("part"), iotest.ErrReader(io.ErrUnexpectedEOF))
+	if read, err := New(readStep).Account().ReadAll(body, readStep); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Fatalf("%q, %v, want %v", read, err, io.ErrUnexpectedEOF)
+	}
+}
