entry, entrynode: a stop misses no accepted connection

Cause: a stopping process ended when no connection was counted, but counted one only in a goroutine started after accept, and went on accepting until its exit: a request that had just been read could be cut off (found by reading, for the users' list of faults). Change: a connection is counted before the next accept; the process closes its listener and looks once more before it ends. Before: TestAcceptedConnectionIsCounted fails. After: it passes.

--- a/internal/entry/clientconn.go
+++ b/internal/entry/clientconn.go
@@ -63,7 +63,6 @@
 }
 
 func (c *clientConn) serve() {
-	c.server.addConn(c)
 	defer c.server.removeConn(c)
 	// An error means that the client has already disconnected.
 	defer c.tcp.Close()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -176,6 +177,44 @@
 	}
 }
 
+// onceListener accepts one connection. accepting receives a value for each call of Accept.
+type onceListener struct {
+	net.Listener
+	accepting chan struct{}
+	accepted  bool
+}
+
+func (l *onceListener) Accept() (net.Conn, error) {
+	l.accepting <- struct{}{}
+	if l.accepted {
+		return nil, net.ErrClosed
+	}
+	l.accepted = true
+	return l.Listener.Accept()
+}
+
+// Guards against a stop that misses a connection which was accepted just before, and cuts off its request.
+func TestAcceptedConnectionIsCounted(t *testing.T) {
+	f := newFixture(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	once := &onceListener{Listener: listener, accepting: make(chan struct{})}
+	go f.server.Serve(once)
+	<-once.accepting
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	<-once.accepting
+	if got := f.server.Connections(); got != 1 {
+		t.Fatalf("%d connections counted when the next one is accepted, want 1", got)
+	}
+}
+
 // Guards against a shutdown that closes a connection while a request arrives on it, and against one that ends without
 // an answer to a request that has not arrived completely.
 func TestStopWhileRequestArrives(t *testing.T) {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -49,11 +49,11 @@
 const acceptRetryDelay = 20 * time.Millisecond
 
 // Serve accepts connections until the listener is closed.
-func (s *Server) Serve(listener net.Listener) error {
+func (s *Server) Serve(listener net.Listener) {
 	for {
 		accepted, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
-			return nil
+			return
 		}
 		if err != nil {
 			s.log.WithError(err).Warning("accept failed; retrying after a delay")
@@ -64,7 +64,10 @@
 		if err := s.timeouts.SetUserTimeout(tcp); err != nil {
 			s.log.WithError(err).Warning("cannot set TCP_USER_TIMEOUT on a client connection")
 		}
-		go newClientConn(s, tcp).serve()
+		c := newClientConn(s, tcp)
+		// Counted before the next accept, so that a stop that has closed the listener misses no connection.
+		s.addConn(c)
+		go c.serve()
 	}
 }
 
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -54,6 +54,9 @@
 	budgets    *entry.RetryBudgets
 	server     *entry.Server
 	stopping   atomic.Bool
+	// clientListener accepts client connections; served is closed when it accepts no more.
+	clientListener net.Listener
+	served         chan struct{}
 }
 
 // New returns a node that is not running yet.
@@ -61,6 +64,7 @@
 	adapter.Store = observe.NewStore(adapter.Store, metrics)
 	n := &Node{
 		adapter: adapter, logs: logs, metrics: metrics, log: logs.Component("node"), started: time.Now(),
+		served: make(chan struct{}),
 	}
 	n.settings.Store(settings)
 	n.view.Store(&snapshot.Snapshot{})
@@ -146,6 +150,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for clients on %q", settings.CallerAddress)
 	}
+	n.clientListener = clientListener
 	readinessListener, err := net.Listen("tcp4", settings.ReadinessAddress)
 	if err != nil {
 		return errors.Wrapf(err, "listen for readiness checks on %q", settings.ReadinessAddress)
@@ -161,14 +166,12 @@
 	go n.serveMetrics()
 	go n.watchSettings(control, settingsPath)
 	go n.closeIdleConnections(control)
-	served := make(chan error, 1)
-	go func() { served <- n.server.Serve(clientListener) }()
+	go func() {
+		defer close(n.served)
+		n.server.Serve(clientListener)
+	}()
 	n.log.WithFields(logrus.Fields{"host": settings.Host, "zone": settings.Zone}).Info("started")
-	select {
-	case err := <-served:
-		return errors.Wrap(err, "serve clients")
-	case <-ctx.Done():
-	}
+	<-ctx.Done()
 	n.shutdown()
 	return nil
 }
--- a/internal/entrynode/stop.go
+++ b/internal/entrynode/stop.go
@@ -21,6 +21,13 @@
 	stopPollInterval = 25 * time.Millisecond
 )
 
+// closeListener stops accepting client connections, and waits until the accepted ones are counted.
+func (n *Node) closeListener() {
+	// An error means that it is closed already.
+	_ = n.clientListener.Close()
+	<-n.served
+}
+
 func isClosed(channel <-chan struct{}) bool {
 	select {
 	case <-channel:
@@ -58,9 +65,14 @@
 		if time.Until(end) < abortReadsMargin {
 			n.server.AbortReads()
 		}
-		if n.server.Connections() == 0 && n.server.InFlight() == 0 && isClosed(resigned) {
+		if n.server.Connections() > 0 || n.server.InFlight() > 0 || !isClosed(resigned) {
+			continue
+		}
+		if isClosed(n.served) {
 			break
 		}
+		// Connections that were accepted before this took effect are still served.
+		n.closeListener()
 	}
 	n.log.WithField("requests", n.server.InFlight()).Info("stopped")
 }
