entry: release the memory of a dropped request

Cause: a request that was read behind the response that closes its connection is dropped; the memory reserved for its body stayed reserved (found when reading the diff). Change: it is released. Before: TestDroppedRequestReleasesMemory does not end. After: it passes.

--- a/internal/entry/clientconn.go
+++ b/internal/entry/clientconn.go
@@ -96,6 +96,7 @@
 		}
 		if !c.beginRequest() {
 			// The last response announced that the connection closes, so the client sends this request again.
+			r.memory.Release()
 			return
 		}
 		c.server.inFlight.Add(1)
@@ -166,6 +167,7 @@
 // reject responds to a request that could not be read, and closes the connection.
 func (c *clientConn) reject(r *request, failure *response) {
 	if !c.beginRequest() {
+		r.memory.Release()
 		return
 	}
 	c.server.inFlight.Add(1)
--- a/internal/entry/upload_test.go
+++ b/internal/entry/upload_test.go
@@ -218,3 +218,36 @@
 	close(release)
 	f.awaitReleased()
 }
+
+// Guards against memory that stays reserved for a request that is dropped because the response before it closed the
+// connection.
+func TestDroppedRequestReleasesMemory(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		signed(w, 200, "ok")
+	})
+	f := newFixture(t, b)
+	conn := f.dial(t)
+	conn.send("POST", "/order/x", "a")
+	for b.arrivals.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	conn.beginUpload("/order/y", heldBodyBytes)
+	for f.server.reading() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.server.Drain()
+	close(release)
+	if response, _ := conn.receive(); !response.Close {
+		t.Fatal("the response does not close the connection")
+	}
+	conn.conn.Write(uploadBody()[:heldBodyBytes])
+	f.awaitReleased()
+	for f.server.Connections() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if reserved := f.server.memory.Reserved(); reserved != 0 {
+		t.Fatalf("%d bytes still reserved", reserved)
+	}
+}
