controller, directory: count a drain from when it may have begun

Change: it counts from the last time at which the contents of the store were known to be complete; relay messages say how long ago that was for their sender. Before: TestDrainThatIsLearnedLate has since 3 s, want 1 s and 2.5 s. After: it passes.

--- a/internal/controller/broadcast.go
+++ b/internal/controller/broadcast.go
@@ -78,6 +78,7 @@
 		AsOf:     int64(c.asOf),
 		Gateways: uint32(c.gateways.value(now)),
 		ReportMs: uint32(c.currentReportInterval().Milliseconds()),
+		LagMs:    c.lagMs(),
 	}
 	if now >= c.broadcasts.nextRunTimes {
 		c.broadcasts.nextRunTimes = now + runTimesInterval
@@ -89,6 +90,9 @@
 	c.broadcast(heartbeat)
 }
 
+// lagMs returns how many milliseconds ago the contents of the store were known to be complete, rounded up.
+func (c *Controller) lagMs() uint32 { return uint32((c.Clock() - c.completeAt).Milliseconds()) + 1 }
+
 // currentReportInterval returns the report interval for the current number of gateways and the measured run time.
 func (c *Controller) currentReportInterval() time.Duration {
 	return reportInterval(c.aggregator.Gateways(), c.Cores, c.broadcasts.averageRunTime)
@@ -232,7 +236,7 @@
 	if c.election.State() != election.StateLeading || len(events) == 0 {
 		return
 	}
-	update := &wire.RelayDown{AsOf: int64(asOf)}
+	update := &wire.RelayDown{AsOf: int64(asOf), LagMs: c.lagMs()}
 	for _, event := range events {
 		update.Items = append(update.Items, relay.EncodeEvent(event))
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -86,8 +86,10 @@
 	assigners map[string]*assignment
 	meters    map[string]*ownership.RateMeter
 	// items is the contents of the store by key, complete up to revision asOf.
-	items      map[string]kv.Item
-	asOf       kv.Revision
+	items map[string]kv.Item
+	asOf  kv.Revision
+	// completeAt is a time at which items was known to be complete. Changes that arrive now were made after it.
+	completeAt time.Duration
 	source     source
 	broadcasts broadcastState
 	gateways   gatewayCount
--- a/internal/controller/source.go
+++ b/internal/controller/source.go
@@ -69,7 +69,7 @@
 	deliver := func(ctx context.Context, update mirror.Update) {
 		c.enqueue(func() {
 			if ctx.Err() == nil {
-				c.applyUpdate(update)
+				c.applyStoreUpdate(update)
 			}
 		})
 	}
@@ -162,12 +162,23 @@
 	if !c.source.complete {
 		return
 	}
+	if message.LagMs > 0 {
+		c.completeAt = max(c.completeAt, now-time.Duration(message.LagMs)*time.Millisecond)
+	}
 	c.applyUpdate(update)
 	for _, delta := range message.Tables {
 		c.applyTableDelta(delta)
 	}
 }
 
+// applyStoreUpdate applies an update that this gateway has read from the store itself.
+func (c *Controller) applyStoreUpdate(update mirror.Update) {
+	c.applyUpdate(update)
+	if update.Err == nil {
+		c.completeAt = c.Clock()
+	}
+}
+
 // applyLoads applies the request counts by backend server, summed over all gateways. A heartbeat without counts
 // confirms the current ones.
 func (c *Controller) applyLoads(message *wire.RelayDown) {
--- a/internal/controller/updates.go
+++ b/internal/controller/updates.go
@@ -51,7 +51,7 @@
 		}
 		c.applyItem(item)
 	}
-	c.directory.Replace(c.Clock(), servers)
+	c.directory.Replace(c.Clock(), c.completeAt, servers)
 	c.serversVersion++
 	c.observeLeader(update.AsOf, c.items[election.Key])
 	if c.election.State() == election.StateLeading {
@@ -129,7 +129,7 @@
 		return
 	}
 	c.markRestarted(server)
-	c.directory.Put(c.Clock(), server)
+	c.directory.Put(c.Clock(), c.completeAt, server)
 }
 
 // markRestarted tells the assigners of a backend server that runs as another incarnation than the known one. Assigners
--- a/internal/controller/updates_test.go
+++ b/internal/controller/updates_test.go
@@ -8,6 +8,9 @@
 	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/kv"
 	"github.com/sapphireplank/sapphireplank/internal/logging"
+	"github.com/sapphireplank/sapphireplank/internal/mirror"
+	"github.com/sapphireplank/sapphireplank/internal/relay"
+	"github.com/sapphireplank/sapphireplank/internal/wire"
 )
 
 // Guards against a panic of the elected gateway when a backend server restarts while an ownership table is being loaded
@@ -26,3 +29,38 @@
 		t.Fatalf("incarnation %d in the directory, want 1", server.StartedAtMs)
 	}
 }
+
+// Guards against requests to a server that has drained for longer than this gateway knows: after a partition, or because
+// the elected gateway learned of it late.
+func TestDrainThatIsLearnedLate(t *testing.T) {
+	now := time.Duration(0)
+	event := func(revision kv.Revision) kv.Event {
+		value, err := json.Marshal(directory.Server{ID: "a", Service: "s", Addr: "a", Draining: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return kv.Event{Item: kv.Item{Key: "servers/a", Value: value, Revision: revision}}
+	}
+	newController := func() *Controller {
+		now = time.Second
+		c := New(Options{Entries: testEntryDecoder{}, Clock: func() time.Duration { return now }, Log: logging.Discard().Component("control")})
+		c.applyStoreUpdate(mirror.Update{AsOf: 1})
+		return c
+	}
+	check := func(c *Controller, want time.Duration) {
+		t.Helper()
+		if server, _ := c.directory.Lookup("a"); !server.Draining || server.DrainingSince != want {
+			t.Errorf("draining: %v, since %v, want since %v", server.Draining, server.DrainingSince, want)
+		}
+	}
+	c := newController()
+	now = 3 * time.Second
+	c.applyStoreUpdate(mirror.Update{AsOf: 2, Events: []kv.Event{event(2)}})
+	check(c, time.Second)
+
+	c = newController()
+	c.source.complete = true
+	now = 3 * time.Second
+	c.handleRelayMessage(0, &wire.RelayDown{AsOf: 2, LagMs: 500, Items: []*wire.RelayItem{relay.EncodeEvent(event(2))}})
+	check(c, 2500*time.Millisecond)
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -19,7 +19,7 @@
 type entry struct {
 	server      Server
 	warmupUntil time.Duration
-	// drainingSince is when the server was first reported as draining.
+	// drainingSince is the earliest time at which the server may have reported that it drains.
 	drainingSince time.Duration
 	// removalPending is true if the entry was removed from the store shortly after an outage.
 	removalPending bool
@@ -31,7 +31,8 @@
 	Server
 	// WarmupUntil is the end of the warm-up, during which the server has less capacity.
 	WarmupUntil time.Duration
-	// DrainingSince is when the server was first reported as draining. It is meaningful only if Draining is set.
+	// DrainingSince is the earliest time at which the server may have reported that it drains. It is meaningful only if
+	// Draining is set.
 	DrainingSince time.Duration
 }
 
@@ -43,9 +44,10 @@
 // RecordStoreOutage records that a store call failed.
 func (d *Directory) RecordStoreOutage(now time.Duration) { d.lastStoreOutage = now }
 
-// Put adds or replaces the entry of a server.
-func (d *Directory) Put(now time.Duration, server Server) {
-	e := &entry{server: server, warmupUntil: now + server.WarmupLeft, drainingSince: now}
+// Put adds or replaces the entry of a server. The change was made since a point in time at which the directory was known
+// to be complete; it may have been learned late.
+func (d *Directory) Put(now, since time.Duration, server Server) {
+	e := &entry{server: server, warmupUntil: now + server.WarmupLeft, drainingSince: since}
 	if last, ok := d.entries[server.ID]; ok && last.server.Draining && last.server.Incarnation() == server.Incarnation() {
 		e.drainingSince = last.drainingSince
 	}
@@ -67,8 +69,9 @@
 	e.removeAt = d.lastStoreOutage + removalGrace
 }
 
-// Replace sets the contents of the directory to a complete listing of the store.
-func (d *Directory) Replace(now time.Duration, servers []Server) {
+// Replace sets the contents of the directory to a complete listing of the store. Like those of Put, the changes were made
+// since a point in time.
+func (d *Directory) Replace(now, since time.Duration, servers []Server) {
 	listed := make(map[string]bool, len(servers))
 	for _, server := range servers {
 		listed[server.ID] = true
@@ -76,11 +79,11 @@
 			wasDraining := e.server.Draining
 			e.server, e.removalPending = server, false
 			if !wasDraining {
-				e.drainingSince = now
+				e.drainingSince = since
 			}
 			continue
 		}
-		d.Put(now, server)
+		d.Put(now, since, server)
 	}
 	for id := range d.entries {
 		if !listed[id] {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -30,7 +30,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			d := New()
-			d.Put(0, Server{ID: "a", Service: "s"})
+			d.Put(0, 0, Server{ID: "a", Service: "s"})
 			if c.removedAt > outage {
 				d.RecordStoreOutage(outage)
 			}
@@ -53,10 +53,10 @@
 // Guards against dropping a server that has registered again after an outage.
 func TestServerRegistersAgainAfterOutage(t *testing.T) {
 	d := New()
-	d.Put(0, Server{ID: "a"})
+	d.Put(0, 0, Server{ID: "a"})
 	d.RecordStoreOutage(time.Second)
-	d.Replace(time.Second, nil)
-	d.Replace(2*time.Second, []Server{{ID: "a"}})
+	d.Replace(time.Second, 0, nil)
+	d.Replace(2*time.Second, time.Second, []Server{{ID: "a"}})
 	d.Expire(time.Minute)
 	if !ids(d)["a"] {
 		t.Fatal("server was dropped although it registered again")
