--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -50,7 +50,7 @@
 	arrivals atomic.Int64
 }
 
-func newBackend(t *testing.T, handler http.HandlerFunc) *backend {
+func newBackend(t testing.TB, handler http.HandlerFunc) *backend {
 	t.Helper()
 	b := &backend{}
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -95,7 +95,7 @@
 	heldBodyBytes   = 64 << 10
 )
 
-func newFixture(t *testing.T, backends ...*backend) *fixture {
+func newFixture(t testing.TB, backends ...*backend) *fixture {
 	t.Helper()
 	started := time.Now()
 	clock := func() time.Duration { return time.Since(started) }
