bytebudget: allocate for a body what arrives, account for what it keeps

Cause: each body, also an empty one, began with a piece of 32 KB, on the path of every request and every answer; the result kept that capacity, while only its length was accounted for (found when the whole change was read once more). Change: the pieces begin with 512 bytes and grow with what has arrived, up to 32 KB; the result has no spare capacity.

--- a/internal/bytebudget/read.go
+++ b/internal/bytebudget/read.go
@@ -5,15 +5,20 @@
 	"io"
 )
 
-// readStep is the number of bytes that are reserved at a time.
-const readStep = 32 << 10
+const (
+	// firstStep and readStep bound the number of bytes that are reserved at a time. Between them it is the number of bytes
+	// that have arrived.
+	firstStep = 512
+	readStep  = 32 << 10
+)
 
 // ReadAll reads at most limit bytes and reserves the memory for them as they arrive, so that a peer that announces much
 // and sends nothing takes none. It reads into separate pieces: a buffer that grows would leave its former copies behind.
+// The result has no spare capacity, which would not be accounted for.
 func (a *Account) ReadAll(reader io.Reader, limit int64) ([]byte, error) {
 	var pieces [][]byte
 	for left := limit; left > 0; {
-		step := min(readStep, left)
+		step := min(max(limit-left, firstStep), readStep, left)
 		if err := a.Reserve(step); err != nil {
 			return nil, err
 		}
@@ -29,9 +34,6 @@
 			return nil, err
 		}
 	}
-	if len(pieces) == 1 {
-		return pieces[0], nil
-	}
 	return bytes.Join(pieces, nil), nil
 }
 
