entry: one check of whether a request can be sent again

Cause: the time that is left and the held body were checked in two places. Change: canSendAgain serves both.

--- a/internal/entry/forwarder.go
+++ b/internal/entry/forwarder.go
@@ -192,7 +192,7 @@
 	case resultResponse:
 		return f.backendResponse()
 	case resultNotSent:
-		if f.unsent < maxUnsent && f.timeLeft() > minTimeLeft && !f.request.bodyIsGone() {
+		if f.unsent < maxUnsent && f.canSendAgain() {
 			return nil
 		}
 	case resultNotExecuted:
@@ -207,9 +207,12 @@
 	return f.finalResponse()
 }
 
+// canSendAgain reports whether there is time for another attempt and the whole body is still held.
+func (f *forwarder) canSendAgain() bool { return f.timeLeft() > minTimeLeft && !f.request.bodyIsGone() }
+
 // allowRetry reports whether another attempt is within the limits and the retry budget. If so, the budget counts it.
 func (f *forwarder) allowRetry() bool {
-	if f.sends >= f.route.MaxAttempts || f.timeLeft() <= minTimeLeft || f.request.bodyIsGone() {
+	if f.sends >= f.route.MaxAttempts || !f.canSendAgain() {
 		return false
 	}
 	if f.retryGranted {
