dispatch, platform: log and count the limits that backend servers name

The adapter decodes the limit, the dispatcher keeps the newest statement of each server and logs each change; plank_limited_servers and plank_entry_limited_sends_total show the rest. No decision uses it yet. A response without a limit counts as sent when its request was sent, so that an older response cannot end a limit.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -6,8 +6,11 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/sapphireplank/sapphireplank/internal/admission"
 	"github.com/sapphireplank/sapphireplank/internal/directory"
+	"github.com/sapphireplank/sapphireplank/internal/observe"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
 	"github.com/sapphireplank/sapphireplank/internal/relay"
 	"github.com/sapphireplank/sapphireplank/internal/serverconn"
@@ -18,12 +21,27 @@
 // estimated load from other gateways changes over time.
 const queueCheckInterval = 10 * time.Millisecond
 
+// Options are the settings and dependencies of a Dispatcher.
+type Options struct {
+	Zone string
+	// Drain is how long a draining backend server still receives requests for keys that it owns.
+	Drain time.Duration
+	// Clock returns the time since the start of the process.
+	Clock func() time.Duration
+	// NewPool creates the connection pool of a backend server.
+	NewPool func(addr string) *serverconn.Pool
+	Log     *logrus.Entry
+	Metrics *observe.Metrics
+}
+
 // Dispatcher places the requests of one gateway on backend servers. It is safe for concurrent use.
 type Dispatcher struct {
 	zone    string
 	drain   time.Duration
 	clock   func() time.Duration
 	newPool func(addr string) *serverconn.Pool
+	log     *logrus.Entry
+	metrics *observe.Metrics
 
 	// mu protects the fields below.
 	mu                  sync.Mutex
@@ -32,16 +50,15 @@
 	queueCheckScheduled bool
 }
 
-// New returns a dispatcher without backend servers. drain is how long a draining backend server still receives
-// requests for keys that it owns. dial creates the connection pool of a backend server.
-func New(
-	zone string, drain time.Duration, clock func() time.Duration, newPool func(addr string) *serverconn.Pool,
-) *Dispatcher {
+// New returns a dispatcher without backend servers.
+func New(options Options) *Dispatcher {
 	return &Dispatcher{
-		zone:     zone,
-		drain:    drain,
-		clock:    clock,
-		newPool:  newPool,
+		zone:     options.Zone,
+		drain:    options.Drain,
+		clock:    options.Clock,
+		newPool:  options.NewPool,
+		log:      options.Log,
+		metrics:  options.Metrics,
 		services: make(map[string]*service),
 		servers:  make(map[directory.Incarnation]*server),
 	}
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -10,6 +10,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/sapphireplank/sapphireplank/internal/directory"
+	"github.com/sapphireplank/sapphireplank/internal/logging"
+	"github.com/sapphireplank/sapphireplank/internal/observe"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
 	"github.com/sapphireplank/sapphireplank/internal/relay"
 	"github.com/sapphireplank/sapphireplank/internal/routing"
@@ -26,8 +28,11 @@
 func newDispatcher() *Dispatcher {
 	started := time.Now()
 	clock := func() time.Duration { return time.Since(started) }
-	return New("z", testDrain, clock, func(addr string) *serverconn.Pool {
-		return serverconn.NewPool(addr, &net.Dialer{}, nil, serverconn.Settings{})
+	return New(Options{
+		Zone: "z", Drain: testDrain, Clock: clock, Log: logging.Discard().Component("dispatch"), Metrics: observe.New(),
+		NewPool: func(addr string) *serverconn.Pool {
+			return serverconn.NewPool(addr, &net.Dialer{}, nil, serverconn.Settings{})
+		},
 	})
 }
 
--- a/internal/dispatch/reservation.go
+++ b/internal/dispatch/reservation.go
@@ -6,6 +6,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/exchange"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
+	"github.com/sapphireplank/sapphireplank/internal/quota"
 	"github.com/sapphireplank/sapphireplank/internal/serverconn"
 	"github.com/sapphireplank/sapphireplank/internal/suspicion"
 )
@@ -40,6 +41,11 @@
 	// Load is the load that the server reported. It is valid only if HasLoad is set.
 	Load    exchange.Load
 	HasLoad bool
+	// Responded is true if the server responded. RateLimit is the limit that it named; it is valid only if HasRateLimit
+	// is set.
+	Responded    bool
+	RateLimit    float64
+	HasRateLimit bool
 	// ServerReplaced is true if a different server answered at the address, which means that the intended one has
 	// terminated.
 	ServerReplaced bool
@@ -51,6 +57,9 @@
 func (d *Dispatcher) reserve(s *service, c choice, now time.Duration) *Reservation {
 	wait := c.state.Wait()
 	c.server.ownRequests++
+	if c.server.statement.Limited {
+		d.metrics.CountLimitedSend()
+	}
 	peerRequestsAt := max(c.server.peerRequestsAt, c.server.peerLoad.ReportedAt())
 	return &Reservation{
 		Server:       c.server.registered.Server,
@@ -79,6 +88,9 @@
 	if result.HasLoad {
 		r.server.peerLoad.Report(result.Load.Running+result.Load.Queued, r.server.ownRequests, now)
 	}
+	if result.Responded {
+		d.observeLimit(r.server, quota.FromResponse(result.RateLimit, result.HasRateLimit, r.sentAt, now))
+	}
 	if result.RunTimeValid && now >= r.server.registered.WarmupUntil {
 		r.server.runTime.Observe(now-r.sentAt, r.relativeWait)
 		r.service.runTime.Observe(now-r.sentAt, r.relativeWait)
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -5,6 +5,7 @@
 
 	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/placing"
+	"github.com/sapphireplank/sapphireplank/internal/quota"
 	"github.com/sapphireplank/sapphireplank/internal/serverconn"
 	"github.com/sapphireplank/sapphireplank/internal/suspicion"
 )
@@ -34,6 +35,8 @@
 	// hash identifies the server in messages between gateways.
 	hash     uint32
 	failures suspicion.Tracker
+	// statement is what the server last stated about its request rate.
+	statement quota.Statement
 	// replaced is true once a different server has answered at this address.
 	replaced bool
 }
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -100,10 +100,13 @@
 	started := time.Now()
 	clock := func() time.Duration { return time.Since(started) }
 	timeouts := netdial.Settings{ConnectTimeout: time.Second, UserTimeout: 5 * time.Second, KeepAliveInterval: 5 * time.Second}
-	dispatcher := dispatch.New("z", time.Second, clock, func(addr string) *serverconn.Pool {
-		return serverconn.NewPool(addr, timeouts.Dialer(), testHeaders{}, serverconn.Settings{
-			MaxIdle: time.Minute, MaxIdleAtMostOnce: time.Minute, MaxResponseBodyBytes: 1 << 20,
-		})
+	dispatcher := dispatch.New(dispatch.Options{
+		Zone: "z", Drain: time.Second, Clock: clock, Log: logging.Discard().Component("dispatch"), Metrics: observe.New(),
+		NewPool: func(addr string) *serverconn.Pool {
+			return serverconn.NewPool(addr, timeouts.Dialer(), testHeaders{}, serverconn.Settings{
+				MaxIdle: time.Minute, MaxIdleAtMostOnce: time.Minute, MaxResponseBodyBytes: 1 << 20,
+			})
+		},
 	})
 	service := &snapshot.Service{Service: routing.Service{Name: "s"}}
 	for i, b := range backends {
--- a/internal/entry/forwarder.go
+++ b/internal/entry/forwarder.go
@@ -154,9 +154,12 @@
 	dispatchResult := dispatch.Result{}
 	misdirected := false
 	if f.last != nil {
-		dispatchResult.Load, dispatchResult.HasLoad = f.last.Metadata.Load, f.last.Metadata.HasLoad
+		metadata := f.last.Metadata
+		dispatchResult.Load, dispatchResult.HasLoad = metadata.Load, metadata.HasLoad
 		misdirected = f.last.Status == http.StatusMisdirectedRequest
-		dispatchResult.ServerReplaced = misdirected && f.last.Metadata.Instance != "" && f.last.Metadata.Instance != reservation.Server.ID
+		dispatchResult.ServerReplaced = misdirected && metadata.Instance != "" && metadata.Instance != reservation.Server.ID
+		dispatchResult.Responded = !dispatchResult.ServerReplaced
+		dispatchResult.RateLimit, dispatchResult.HasRateLimit = metadata.RateLimit, metadata.HasRateLimit
 	}
 	dispatchResult.RunTimeValid = r == resultResponse
 	if !disconnected {
--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -24,6 +24,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(metricsPath, func(w http.ResponseWriter, r *http.Request) {
 		n.metrics.SetSuspendedServers(n.dispatcher.SuspendedServers())
+		n.metrics.SetLimitedServers(n.dispatcher.LimitedServers())
 		handler.ServeHTTP(w, r)
 	})
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -70,8 +70,15 @@
 	n.view.Store(&snapshot.Snapshot{})
 	n.budgets = entry.NewRetryBudgets(retryLimits(settings), n.clock)
 	dialer := ServerTimeouts.Dialer()
-	n.dispatcher = dispatch.New(settings.Zone, settings.ServerDrain, n.clock, func(addr string) *serverconn.Pool {
-		return serverconn.NewPool(addr, dialer, adapter.Headers, poolSettings)
+	n.dispatcher = dispatch.New(dispatch.Options{
+		Zone:  settings.Zone,
+		Drain: settings.ServerDrain,
+		Clock: n.clock,
+		NewPool: func(addr string) *serverconn.Pool {
+			return serverconn.NewPool(addr, dialer, adapter.Headers, poolSettings)
+		},
+		Log:     logs.Component("dispatch"),
+		Metrics: metrics,
 	})
 	n.controller = controller.New(n.controllerOptions(settings))
 	n.server = entry.New(entry.Options{
--- a/internal/exchange/headers.go
+++ b/internal/exchange/headers.go
@@ -41,6 +41,10 @@
 	// Load is the load that the backend server reported, if it did.
 	Load    Load
 	HasLoad bool
+	// RateLimit is the number of requests a second that the backend server takes from all gateways together, if it states
+	// one.
+	RateLimit    float64
+	HasRateLimit bool
 }
 
 // Load holds the numbers of running requests, queued requests and slots of a backend server.
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -36,6 +36,8 @@
 	version         prometheus.Gauge
 	servers         prometheus.Gauge
 	suspended       prometheus.Gauge
+	limited         prometheus.Gauge
+	limitedSends    prometheus.Counter
 	gateways        prometheus.Gauge
 	ownershipRows   prometheus.Gauge
 	storeContactAge prometheus.Gauge
@@ -59,13 +61,15 @@
 		version:         newGauge("plank_configuration_version", "Version of the configuration in force; 0 if there is none."),
 		servers:         newGauge("plank_backend_servers", "Backend servers that are known."),
 		suspended:       newGauge("plank_suspended_servers", "Backend servers that get no requests after silent or lost ones."),
+		limited:         newGauge("plank_limited_servers", "Backend servers that limit their request rate."),
+		limitedSends:    newCounter("plank_entry_limited_sends_total", "Requests placed on backend servers that limit their request rate."),
 		gateways:        newGauge("plank_gateways", "Gateways with which this one shares limits."),
 		ownershipRows:   newGauge("plank_ownership_rows", "Ranges of keys in the ownership tables."),
 		storeContactAge: newGauge("plank_store_contact_age_seconds", "Time since what the store holds was last confirmed, by the store or the elected gateway."),
 		dropped:         newCounter("plank_log_lines_dropped_total", "Log lines that were dropped because the output was slow or the rate was exceeded."),
 	}
 	m.registry.MustRegister(m.requests, m.durations, m.queueWaits, m.refusals, m.sends, m.retries, m.storeCalls, m.orders,
-		m.movedKeys, m.elected, m.version, m.servers, m.suspended, m.gateways, m.ownershipRows, m.storeContactAge, m.dropped)
+		m.movedKeys, m.elected, m.version, m.servers, m.suspended, m.limited, m.limitedSends, m.gateways, m.ownershipRows, m.storeContactAge, m.dropped)
 	return m
 }
 
@@ -157,5 +161,11 @@
 	m.storeContactAge.Set(s.StoreContactAge.Seconds())
 }
 
+// SetLimitedServers sets the number of backend servers that limit their request rate.
+func (m *Metrics) SetLimitedServers(count int) { m.limited.Set(float64(count)) }
+
+// CountLimitedSend counts a request that is placed on a backend server that limits its request rate.
+func (m *Metrics) CountLimitedSend() { m.limitedSends.Inc() }
+
 // SetSuspendedServers sets the number of backend servers that are suspended from traffic.
 func (m *Metrics) SetSuspendedServers(count int) { m.suspended.Set(float64(count)) }
