quota, dispatch, controller: gateways share the limit of a server

What callers' servers saw: LIMIT, 56 requests in 4 s at a server that had named 5.7 a second, 39 allowed.

Cause: the limit was read nowhere. The class: a bound on the whole fleet. Each gateway keeping to it from its own view would exceed it ten times over (2), and a key has one owner, so the requests must be refused or the keys moved (3).

Change: package quota. The elected gateway fills a bucket at the rate of the limit and issues permits, first to gateways at which requests wait, then by demand; unused permits come back. A gateway without recent permits uses an equal share of the limit, and the elected one issues only the part of the gateways that it reaches, so the sum stays at the limit also while there are two elected gateways or none. Among more gateways than the limit allows single requests, some are drawn. Requests beyond the limit go to other servers, wait for a permit if it comes in time, or are refused at once with the expected wait. The planner counts a limit as the capacity of the server, so that its keys move away.

--- a/internal/controller/assign.go
+++ b/internal/controller/assign.go
@@ -186,6 +186,9 @@
 	candidates := make([]ownership.Candidate, len(servers))
 	for i, server := range servers {
 		capacity := float64(server.Slots) / runTimes[i].Seconds()
+		if limit, limited := c.allocator.Limit(relay.ServerHash(server.Incarnation())); limited {
+			capacity = min(capacity, limit)
+		}
 		if c.Clock() < server.WarmupUntil {
 			capacity *= warmupCapacityShare
 		}
--- a/internal/controller/broadcast.go
+++ b/internal/controller/broadcast.go
@@ -65,6 +65,7 @@
 	c.collectOwnReport()
 	if now >= c.broadcasts.nextLoads {
 		c.broadcastLoads(now)
+		c.allocateQuotas(now)
 	}
 	if now < c.broadcasts.nextHeartbeat {
 		return
@@ -221,8 +222,11 @@
 // ReportReceived implements relay.Receiver.
 func (c *Controller) ReportReceived(session *relay.Session, report *wire.RelayUp) {
 	c.aggregator.Report(session.Host, session.ID, report)
-	if len(report.Keys) > 0 || len(report.Refused) > 0 {
-		c.enqueue(func() { c.applyReport(report) })
+	if len(report.Keys) > 0 || len(report.Refused) > 0 || len(report.Quotas) > 0 {
+		c.enqueue(func() {
+			c.applyReport(report)
+			c.applyQuotaReports(session.Host, report.Quotas)
+		})
 	}
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -14,6 +14,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/kv"
 	"github.com/sapphireplank/sapphireplank/internal/observe"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
+	"github.com/sapphireplank/sapphireplank/internal/quota"
 	"github.com/sapphireplank/sapphireplank/internal/relay"
 	"github.com/sapphireplank/sapphireplank/internal/routing"
 	"github.com/sapphireplank/sapphireplank/internal/snapshot"
@@ -54,6 +55,10 @@
 	SetLoads(total map[uint32]int)
 	// SetRunTimes sets the run time of requests at each backend server, as measured by all gateways.
 	SetRunTimes(runTimes map[uint32]relay.RunTime)
+	// QuotaReports returns what this gateway did with the rates of backend servers that limit them, since the last call.
+	QuotaReports() []quota.Report
+	// SetQuotas sets what the elected gateway allocates to this one of these rates.
+	SetQuotas(grants []quota.Grant)
 }
 
 const (
@@ -85,6 +90,8 @@
 	election  *election.Election
 	assigners map[string]*assignment
 	meters    map[string]*ownership.RateMeter
+	// allocator divides the rates of backend servers while this gateway is the elected one.
+	allocator *quota.Allocator
 	// items is the contents of the store by key, complete up to revision asOf.
 	items map[string]kv.Item
 	asOf  kv.Revision
@@ -121,6 +128,7 @@
 		election:   election.New(options.Election, election.Leader{Host: options.Host, Addr: options.Addr}),
 		assigners:  make(map[string]*assignment),
 		meters:     make(map[string]*ownership.RateMeter),
+		allocator:  quota.NewAllocator(),
 		items:      make(map[string]kv.Item),
 
 		serversVersion: 1,
@@ -236,5 +244,6 @@
 	}
 	c.Log.WithField("term", c.election.Term()).Info("no longer the elected gateway")
 	c.dropAssigners()
+	c.allocator = quota.NewAllocator()
 	c.server.CloseAll()
 }
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -16,6 +16,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/logging"
 	"github.com/sapphireplank/sapphireplank/internal/observe"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
+	"github.com/sapphireplank/sapphireplank/internal/quota"
 	"github.com/sapphireplank/sapphireplank/internal/relay"
 	"github.com/sapphireplank/sapphireplank/internal/routing"
 	"github.com/sapphireplank/sapphireplank/internal/snapshot"
@@ -97,6 +98,8 @@
 func (d *testDataPlane) RunTimes() map[uint32]relay.RunTime            { return nil }
 func (d *testDataPlane) SetLoads(map[uint32]int)                       {}
 func (d *testDataPlane) SetRunTimes(runTimes map[uint32]relay.RunTime) {}
+func (d *testDataPlane) QuotaReports() []quota.Report                  { return nil }
+func (d *testDataPlane) SetQuotas([]quota.Grant)                       {}
 
 // gateway is one controller under test.
 type gateway struct {
@@ -352,3 +355,18 @@
 		t.Fatalf("contents as of revision %d of a former elected gateway were applied", c.asOf)
 	}
 }
+
+// Guards against a planner that leaves keys with a server that limits its requests.
+func TestLimitReducesCapacity(t *testing.T) {
+	now := time.Second
+	c := New(Options{Entries: testEntryDecoder{}, Clock: func() time.Duration { return now }, Log: logging.Discard().Component("control")})
+	for _, id := range []string{"a", "b"} {
+		c.directory.Put(now, now, directory.Server{ID: id, Service: "s", Addr: id, Slots: 2})
+	}
+	server := relay.ServerHash(directory.Incarnation{ID: "a"})
+	c.allocator.Report("g1", quota.Report{Server: server, Statement: quota.Statement{Limited: true, Limit: 4, At: now}}, now)
+	candidates := c.candidates("s")
+	if candidates[0].Capacity != 4 || candidates[1].Capacity <= 4 {
+		t.Fatalf("capacities %v and %v, want 4 and more", candidates[0].Capacity, candidates[1].Capacity)
+	}
+}
--- a/internal/controller/source.go
+++ b/internal/controller/source.go
@@ -144,6 +144,9 @@
 		c.reportInterval.Store(int64(time.Duration(message.ReportMs) * time.Millisecond))
 	}
 	c.applyLoads(message)
+	if len(message.Quotas) > 0 {
+		c.DataPlane.SetQuotas(relay.DecodeQuotaGrants(message.Quotas, now))
+	}
 	if len(message.Works) > 0 {
 		c.DataPlane.SetRunTimes(relay.DecodeRunTimes(message.Works))
 	}
@@ -235,6 +238,7 @@
 		next = now + time.Duration(c.reportInterval.Load()) - relay.ReportPollInterval/2
 		report := &wire.RelayUp{}
 		report.Keys, report.Refused = c.reports.drain()
+		report.Quotas = relay.EncodeQuotaReports(c.DataPlane.QuotaReports(), now)
 		if loads := c.DataPlane.Loads(); last == nil || !maps.Equal(loads, last) {
 			last = loads
 			report.HasLoad, report.Load = true, relay.EncodeLoads(loads)
@@ -244,7 +248,7 @@
 			report.Works = relay.EncodeRunTimes(c.DataPlane.RunTimes())
 		}
 		count++
-		if len(report.Keys) == 0 && len(report.Refused) == 0 && !report.HasLoad && !due && now-lastSent < maxReportPause {
+		if len(report.Keys) == 0 && len(report.Refused) == 0 && len(report.Quotas) == 0 && !report.HasLoad && !due && now-lastSent < maxReportPause {
 			return nil
 		}
 		lastSent = now
--- a/internal/dispatch/acquire_request.go
+++ b/internal/dispatch/acquire_request.go
@@ -39,6 +39,7 @@
 	ReasonMoving     Reason = "key moves"
 	ReasonSuspended  Reason = "owner suspended"
 	ReasonFull       Reason = "servers full"
+	ReasonLimited    Reason = "servers limit requests"
 	ReasonClientLeft Reason = "caller left"
 )
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/observe"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
+	"github.com/sapphireplank/sapphireplank/internal/quota"
 	"github.com/sapphireplank/sapphireplank/internal/relay"
 	"github.com/sapphireplank/sapphireplank/internal/serverconn"
 	"github.com/sapphireplank/sapphireplank/internal/snapshot"
@@ -44,7 +46,9 @@
 	metrics *observe.Metrics
 
 	// mu protects the fields below.
-	mu                  sync.Mutex
+	mu sync.Mutex
+	// gateways is the number of gateways that share the limits of backend servers.
+	gateways            int
 	services            map[string]*service
 	servers             map[directory.Incarnation]*server
 	queueCheckScheduled bool
@@ -92,6 +96,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	changed := false
+	d.gateways = view.Gateways
 	for name, current := range view.Services {
 		s := d.services[name]
 		if s == nil {
@@ -100,6 +105,7 @@
 		}
 		s.sharded = current.Sharded
 		s.owners = current.Owners
+		s.gateways = view.Gateways
 		if !sameSlice(s.serverList, current.Servers) {
 			d.setServers(s, current.Servers)
 			changed = true
@@ -158,7 +164,7 @@
 	if s == nil {
 		s = &server{
 			pool: d.newPool(registered.Addr), sameZone: registered.Zone == d.zone,
-			hash: relay.ServerHash(registered.Incarnation()),
+			hash: relay.ServerHash(registered.Incarnation()), limiter: quota.NewLimiter(rand.Float64()),
 		}
 		d.servers[registered.Incarnation()] = s
 	}
@@ -209,6 +215,7 @@
 	}
 	ahead := s.countAhead(request, now)
 	c := s.choose(request, now, ahead)
+	c.countDemand()
 	if c.server != nil && ahead == 0 {
 		return nil, d.reserve(s, c, now), nil
 	}
@@ -241,6 +248,7 @@
 	select {
 	case result := <-w.result:
 		if result.reservation != nil {
+			result.reservation.server.limiter.Return()
 			d.releaseSlot(result.reservation)
 		}
 	default:
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -1,23 +1,99 @@
 package dispatch
 
-import "github.com/sapphireplank/sapphireplank/internal/quota"
+import (
+	"slices"
+	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/quota"
+)
 
 // observeLimit applies what a backend server stated about its request rate.
 func (d *Dispatcher) observeLimit(s *server, statement quota.Statement) {
-	before := s.statement
-	if !statement.NewerThan(before) {
-		return
-	}
-	s.statement = statement
-	if before.Limited == statement.Limited && before.Limit == statement.Limit {
-		return
+	if s.limiter.Observe(statement, d.clock()) {
+		d.logLimit(s)
 	}
+}
+
+func (d *Dispatcher) logLimit(s *server) {
 	log := d.log.WithField("server", s.registered.ID).WithField("service", s.registered.Service)
+	statement := s.limiter.Statement()
 	if !statement.Limited {
 		log.Info("backend server no longer limits its requests")
 		return
 	}
-	log.WithField("limit", statement.Limit).Info("backend server limits its requests a second")
+	log.WithField("limit", statement.Limit).WithField("gateways", d.gateways).Info("backend server limits its requests a second")
+}
+
+// countDemand counts a request at the servers that limit their requests and for which it was chosen or waits.
+func (c choice) countDemand() {
+	if c.server != nil {
+		c.server.limiter.Want()
+		return
+	}
+	for _, s := range c.limited {
+		s.limiter.Want()
+	}
+}
+
+// limitedWait returns the expected time until one of the limited servers admits a request.
+func (s *service) limitedWait(limited []*server, ahead int, now time.Duration) time.Duration {
+	shortest := slowMoveWait
+	for _, server := range limited {
+		shortest = min(shortest, server.limiter.Wait(ahead/len(limited), now, s.gateways))
+	}
+	return shortest
+}
+
+// QuotaReports returns the reports to the elected gateway on the servers that limit their requests.
+func (d *Dispatcher) QuotaReports() []quota.Report {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock()
+	var reports []quota.Report
+	waiting := d.waitingByServer(now)
+	for _, s := range d.servers {
+		if usage, due := s.limiter.Report(now, d.gateways, waiting[s]); due {
+			reports = append(reports, quota.Report{Server: s.hash, Statement: s.limiter.Statement(), Usage: usage})
+		}
+	}
+	return reports
+}
+
+// waitingByServer returns the number of queued requests that wait for a permit of each server. A request that several
+// servers can run counts at one of them.
+func (d *Dispatcher) waitingByServer(now time.Duration) map[*server]int {
+	waiting := make(map[*server]int)
+	for _, s := range d.services {
+		if !slices.ContainsFunc(s.servers, func(server *server) bool { return server.limiter.Limited() }) {
+			continue
+		}
+		for i, w := range s.queue {
+			if limited := s.choose(w.request, now, 0).limited; len(limited) > 0 {
+				waiting[limited[i%len(limited)]]++
+			}
+		}
+	}
+	return waiting
+}
+
+// SetQuotas applies what the elected gateway allocates to this one.
+func (d *Dispatcher) SetQuotas(grants []quota.Grant) {
+	if len(grants) == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock()
+	byServer := make(map[uint32]quota.Grant, len(grants))
+	for _, grant := range grants {
+		byServer[grant.Server] = grant
+	}
+	for _, s := range d.servers {
+		if grant, ok := byServer[s.hash]; ok && s.limiter.Allocate(grant, now) {
+			d.logLimit(s)
+		}
+	}
+	d.placeQueued()
 }
 
 // LimitedServers returns the number of backend servers that limit their requests.
@@ -26,7 +102,7 @@
 	defer d.mu.Unlock()
 	count := 0
 	for _, s := range d.servers {
-		if s.statement.Limited {
+		if s.limiter.Limited() {
 			count++
 		}
 	}
--- a/internal/dispatch/reservation.go
+++ b/internal/dispatch/reservation.go
@@ -46,6 +46,8 @@
 	Responded    bool
 	RateLimit    float64
 	HasRateLimit bool
+	// NotSent is true if no byte of the request was sent.
+	NotSent bool
 	// ServerReplaced is true if a different server answered at the address, which means that the intended one has
 	// terminated.
 	ServerReplaced bool
@@ -57,7 +59,8 @@
 func (d *Dispatcher) reserve(s *service, c choice, now time.Duration) *Reservation {
 	wait := c.state.Wait()
 	c.server.ownRequests++
-	if c.server.statement.Limited {
+	if c.server.limiter.Limited() {
+		c.server.limiter.Take(now, d.gateways)
 		d.metrics.CountLimitedSend()
 	}
 	peerRequestsAt := max(c.server.peerRequestsAt, c.server.peerLoad.ReportedAt())
@@ -88,6 +91,9 @@
 	if result.HasLoad {
 		r.server.peerLoad.Report(result.Load.Running+result.Load.Queued, r.server.ownRequests, now)
 	}
+	if result.NotSent {
+		r.server.limiter.Return()
+	}
 	if result.Responded {
 		d.observeLimit(r.server, quota.FromResponse(result.RateLimit, result.HasRateLimit, r.sentAt, now))
 	}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -35,8 +35,8 @@
 	// hash identifies the server in messages between gateways.
 	hash     uint32
 	failures suspicion.Tracker
-	// statement is what the server last stated about its request rate.
-	statement quota.Statement
+	// limiter admits requests while the server limits them.
+	limiter *quota.Limiter
 	// replaced is true once a different server has answered at this address.
 	replaced bool
 }
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -37,6 +37,10 @@
 	runTime     placing.RunTimeEstimate
 	queue       []*waiter
 	random      *rand.Rand
+	// gateways is the number of gateways that share the limits of the servers.
+	gateways int
+	// limited is a buffer for the servers that admit no request now.
+	limited []*server
 	// These are buffers for indices of servers that are reused between placements.
 	eligible, sameZoneIndices, otherZoneIndices []int
 }
@@ -56,6 +60,8 @@
 	// state is the state of the server by which it was chosen.
 	state placing.Server
 	token ownership.Token
+	// limited are the servers that have room, but admit no further request now. They are not set if a server was chosen.
+	limited []*server
 	// reason states why no server was chosen.
 	reason Reason
 	// wait is the expected queueing time if no server was chosen.
@@ -94,6 +100,10 @@
 	meanRunTime, meanPeerRequests := s.meanRunTime(request), s.meanPeerRequests()
 	state := func(i int) placing.Server { return s.servers[i].state(now, meanRunTime, meanPeerRequests) }
 	candidates := s.candidates(request, now)
+	if len(candidates.SameZone)+len(candidates.OtherZones) == 0 && len(s.limited) > 0 {
+		wait := s.limitedWait(s.limited, ahead, now)
+		return choice{reason: ReasonLimited, limited: s.limited, wait: wait, runTime: meanRunTime}
+	}
 	if len(candidates.SameZone)+len(candidates.OtherZones) == 0 {
 		return choice{reason: ReasonNoServer, wait: slowMoveWait, runTime: meanRunTime}
 	}
@@ -108,18 +118,23 @@
 		rate += float64(server.Slots) / server.RunTime.Seconds()
 	}
 	wait := time.Duration(float64(ahead+1) / rate * float64(time.Second))
-	return choice{reason: ReasonFull, wait: wait, runTime: meanRunTime}
+	return choice{reason: ReasonFull, limited: s.limited, wait: wait, runTime: meanRunTime}
 }
 
 // candidates returns the servers that are eligible for a request. Servers that already received the request are
-// excluded if there are others, and suspended servers are excluded unless most servers are suspended. The result
-// is valid until the next call.
+// excluded if there are others, and suspended servers are excluded unless most servers are suspended. Servers that would
+// be eligible but admit no request now are in s.limited. The result and s.limited are valid until the next call.
 func (s *service) candidates(request *AcquireRequest, now time.Duration) placing.Candidates {
 	eligible, tried, suspended := s.eligible[:0], []int(nil), 0
+	s.limited = s.limited[:0]
 	for i, server := range s.servers {
 		if server.registered.Draining || server.replaced {
 			continue
 		}
+		if !server.limiter.Admits(now, s.gateways) {
+			s.limited = append(s.limited, server)
+			continue
+		}
 		if len(request.Tried) > 0 && slices.Contains(request.Tried, server.registered.Incarnation()) {
 			tried = append(tried, i)
 			continue
@@ -168,6 +183,10 @@
 	if owner.failures.Suspended(now) {
 		return choice{reason: ReasonSuspended, wait: slowMoveWait, runTime: state.RunTime}
 	}
+	if !owner.limiter.Admits(now, s.gateways) {
+		limited := append(s.limited[:0], owner)
+		return choice{reason: ReasonLimited, limited: limited, wait: owner.limiter.Wait(ahead, now, s.gateways), runTime: state.RunTime}
+	}
 	if state.HasRoom(placing.Limits{Target: request.Target}) {
 		return choice{server: owner, state: state, token: row.Token, runTime: state.RunTime}
 	}
--- a/internal/entry/forwarder.go
+++ b/internal/entry/forwarder.go
@@ -80,11 +80,11 @@
 		}
 		f.record(decision{message: decisionPlaced, reservation: reservation})
 		if ctx.Err() != nil {
-			f.handler.Dispatcher.Done(reservation, dispatch.Result{})
+			f.handler.Dispatcher.Done(reservation, dispatch.Result{NotSent: true})
 			return &response{status: statusClientGone}
 		}
 		if f.timeLeft() < minTimeLeft {
-			f.handler.Dispatcher.Done(reservation, dispatch.Result{})
+			f.handler.Dispatcher.Done(reservation, dispatch.Result{NotSent: true})
 			return f.outOfTime()
 		}
 		if f.sends == 0 {
@@ -151,7 +151,7 @@
 	reservation *dispatch.Reservation, limit time.Duration, err error, started time.Duration, disconnected bool,
 ) {
 	r := f.lastResult
-	dispatchResult := dispatch.Result{}
+	dispatchResult := dispatch.Result{NotSent: r == resultNotSent}
 	misdirected := false
 	if f.last != nil {
 		metadata := f.last.Metadata
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -23,6 +23,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/netdial"
 	"github.com/sapphireplank/sapphireplank/internal/observe"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
+	"github.com/sapphireplank/sapphireplank/internal/quota"
 	"github.com/sapphireplank/sapphireplank/internal/relay"
 	"github.com/sapphireplank/sapphireplank/internal/serverconn"
 	"github.com/sapphireplank/sapphireplank/internal/snapshot"
@@ -149,6 +150,9 @@
 func (d dataPlane) SetLoads(total map[uint32]int)                 { d.dispatcher.SetLoads(total) }
 func (d dataPlane) SetRunTimes(runTimes map[uint32]relay.RunTime) { d.dispatcher.SetRunTimes(runTimes) }
 
+func (d dataPlane) QuotaReports() []quota.Report   { return d.dispatcher.QuotaReports() }
+func (d dataPlane) SetQuotas(grants []quota.Grant) { d.dispatcher.SetQuotas(grants) }
+
 // Run serves until the context is done and then stops within the grace period. Changes to the file at settingsPath
 // are applied while it runs.
 func (n *Node) Run(ctx context.Context, settingsPath string) error {
--- /dev/null
+++ b/internal/quota/allocator.go
@@ -0,0 +1,189 @@
+package quota
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// burstShare and extraBurst bound the permits that are issued at once: burstShare seconds of the limit, and
+	// extraBurst more. With permits that were issued up to PermitLifetime earlier, the requests in 4 s stay below one and
+	// a half times what the limit allows and 5 more.
+	burstShare = 0.5
+	extraBurst = 2
+	// reservedShare is the share of the permits that is kept for gateways with recent demand. A gateway without any is
+	// issued a permit for its next request from the rest.
+	reservedShare = 0.5
+	// exchangeTime is the typical time from a request without a permit to the message that brings one.
+	exchangeTime = 100 * time.Millisecond
+	// permitReportGrace is how long after its expiry a permit that was not reported counts as used.
+	permitReportGrace = 1500 * time.Millisecond
+)
+
+// Report is the report of one gateway on one backend server.
+type Report struct {
+	// Server identifies the backend server.
+	Server    uint32
+	Statement Statement
+	Usage     Usage
+}
+
+// Grant is what a gateway is allocated of the rate of one backend server.
+type Grant struct {
+	// Server identifies the backend server.
+	Server    uint32
+	Statement Statement
+	// Permits is the number of additional requests that the gateway may send within PermitLifetime.
+	Permits int
+	// Wait is the expected time until the gateway is issued a permit for another request.
+	Wait time.Duration
+}
+
+// Allocator divides the rates of backend servers among the gateways. The elected gateway has one.
+type Allocator struct {
+	servers map[uint32]*allocation
+}
+
+// allocation is the division of the rate of one backend server.
+type allocation struct {
+	statement Statement
+	tokens    float64
+	filledAt  time.Duration
+	members   map[string]*member
+}
+
+// NewAllocator returns an allocator that knows no limits.
+func NewAllocator() *Allocator { return &Allocator{servers: make(map[uint32]*allocation)} }
+
+// Report applies the report of a gateway. The time of its statement is in terms of the caller's clock.
+func (a *Allocator) Report(host string, report Report, now time.Duration) {
+	s := a.servers[report.Server]
+	if s == nil {
+		s = &allocation{members: make(map[string]*member), filledAt: now}
+		a.servers[report.Server] = s
+	}
+	if report.Statement.NewerThan(s.statement) {
+		s.statement = report.Statement
+	}
+	returned := s.member(host).report(report.Usage, now)
+	s.tokens = min(s.tokens+float64(returned), s.maxTokens())
+}
+
+// Limit returns the number of requests a second that a backend server takes, and whether it limits them.
+func (a *Allocator) Limit(server uint32) (float64, bool) {
+	s := a.servers[server]
+	if s == nil || !s.statement.Limited {
+		return 0, false
+	}
+	return s.statement.effectiveLimit(), true
+}
+
+// Allocate issues permits to the given hosts, which are those that the allocator can reach out of a number of gateways.
+// The others use their own shares. Each host is listed once. The result has one grant a server for each host.
+func (a *Allocator) Allocate(hosts []string, gateways int, now time.Duration) map[string][]Grant {
+	grants := make(map[string][]Grant)
+	for _, server := range slices.Sorted(maps.Keys(a.servers)) {
+		s := a.servers[server]
+		if !s.statement.Limited && now-s.statement.At > endedRetention {
+			delete(a.servers, server)
+			continue
+		}
+		reached := float64(len(hosts)) / float64(max(gateways, len(hosts), 1))
+		issued := s.issue(hosts, reached, now)
+		wait := s.wait(s.statement.effectiveLimit() * reached)
+		for _, host := range hosts {
+			grants[host] = append(grants[host], Grant{
+				Server: server, Statement: s.statement, Permits: issued[host], Wait: wait,
+			})
+		}
+	}
+	return grants
+}
+
+// wait returns the expected time until a permit is issued for another request, after those that wait already. limit is
+// the number of permits a second.
+func (s *allocation) wait(limit float64) time.Duration {
+	waiting := 1 - s.tokens
+	for _, m := range s.members {
+		waiting += float64(m.waiting)
+	}
+	return exchangeTime + time.Duration(max(0, waiting)/limit*float64(time.Second))
+}
+
+// issue accrues a share of the limit and issues permits for it. It returns the number of permits by host.
+func (s *allocation) issue(hosts []string, share float64, now time.Duration) map[string]int {
+	s.retain(hosts, now)
+	issued := make(map[string]int)
+	if !s.statement.Limited {
+		s.tokens, s.filledAt = 0, now
+		return issued
+	}
+	s.tokens = min(s.tokens+(now-s.filledAt).Seconds()*share*s.statement.effectiveLimit(), s.maxTokens())
+	s.filledAt = now
+	for s.tokens >= 1 {
+		host := s.next(hosts, now)
+		if host == "" {
+			break
+		}
+		s.tokens--
+		s.members[host].issue(now)
+		issued[host]++
+	}
+	return issued
+}
+
+// retain limits the members to the given hosts.
+func (s *allocation) retain(hosts []string, now time.Duration) {
+	for _, host := range hosts {
+		s.member(host).expire(now)
+	}
+	if len(s.members) > len(hosts) {
+		maps.DeleteFunc(s.members, func(host string, _ *member) bool { return !slices.Contains(hosts, host) })
+	}
+}
+
+// next returns the host that gets the next permit, or "" if none can use another one: first hosts at which requests wait,
+// then hosts that will need one.
+func (s *allocation) next(hosts []string, now time.Duration) string {
+	waiting := func(m *member) bool { return m.waiting > 0 }
+	if host := s.nextOf(hosts, now, waiting); host != "" {
+		return host
+	}
+	return s.nextOf(hosts, now, func(m *member) bool {
+		return m.mayHoldMore(now) && (!m.idle(now) || s.tokens >= s.maxTokens()*reservedShare)
+	})
+}
+
+// nextOf returns the host that gets the next permit among those that are eligible. Each of them gets permits in proportion
+// to its weight (smooth weighted round robin).
+func (s *allocation) nextOf(hosts []string, now time.Duration, eligible func(*member) bool) string {
+	total, best := 0.0, ""
+	for _, host := range hosts {
+		m := s.members[host]
+		if !eligible(m) {
+			continue
+		}
+		weight := m.weight(now)
+		m.credit += weight
+		total += weight
+		if best == "" || m.credit > s.members[best].credit {
+			best = host
+		}
+	}
+	if best != "" {
+		s.members[best].credit -= total
+	}
+	return best
+}
+
+func (s *allocation) maxTokens() float64 { return burstShare*s.statement.effectiveLimit() + extraBurst }
+
+func (s *allocation) member(host string) *member {
+	m := s.members[host]
+	if m == nil {
+		m = &member{}
+		s.members[host] = m
+	}
+	return m
+}
--- a/internal/quota/statement.go
+++ b/internal/quota/statement.go
@@ -19,7 +19,23 @@
 	if limited {
 		return Statement{Limited: true, Limit: limit, At: now}
 	}
-	return Statement{At: sentAt}
+	return Statement{At: sentAt - clockMargin}
+}
+
+const (
+	// clockMargin exceeds the error of a time that another gateway stated as an age, which is the time of its message.
+	clockMargin = 100 * time.Millisecond
+	// minLimit is the limit, in requests a second, that a lower one counts as. The response to a request is the only sign
+	// that a limit has ended. The 5 requests that a server takes beyond its limit in 4 s include them.
+	minLimit = 0.25
+)
+
+// effectiveLimit returns the number of requests a second to send.
+func (s Statement) effectiveLimit() float64 { return max(s.Limit, minLimit) }
+
+// sameLimit reports whether two statements name the same limit, or none.
+func (s Statement) sameLimit(other Statement) bool {
+	return s.Limited == other.Limited && s.Limit == other.Limit
 }
 
 // NewerThan reports whether the statement replaces another one.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -191,6 +191,17 @@
 	}
 }
 
+// SendTo queues a message for the gateway on a host, if it is connected.
+func (s *Server) SendTo(host string, message Message) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for session := range s.sessions {
+		if session.Host == host {
+			session.Send(message)
+		}
+	}
+}
+
 // Hosts returns the hosts of the connected gateways.
 func (s *Server) Hosts() []string {
 	s.mu.Lock()
