quota: issue permits to the most urgent requests first

A permit went to the gateway with the most demand, and the expected wait was that behind all waiting requests, so urgent ones with a short objective were refused.

Gateways report waiting requests by level of urgency; permits go to the most urgent first, and the expected wait counts only those that are as urgent. TestUrgentRequestsFirst covers the order.

--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -36,10 +36,11 @@
 }
 
 // limitedWait returns the expected time until one of the limited servers admits a request.
-func (s *service) limitedWait(limited []*server, ahead int, now time.Duration) time.Duration {
+func (s *service) limitedWait(request *AcquireRequest, limited []*server, ahead int, now time.Duration) time.Duration {
 	shortest := slowMoveWait
 	for _, server := range limited {
-		shortest = min(shortest, server.limiter.Wait(ahead/len(limited), now, s.gateways))
+		wait := server.limiter.Wait(quota.Level(request.Priority), ahead/len(limited), now, s.gateways)
+		shortest = min(shortest, wait)
 	}
 	return shortest
 }
@@ -59,17 +60,20 @@
 	return reports
 }
 
-// waitingByServer returns the number of queued requests that wait for a permit of each server. A request that several
+// waitingByServer returns the queued requests that wait for a permit of each server. A request that several
 // servers can run counts at one of them.
-func (d *Dispatcher) waitingByServer(now time.Duration) map[*server]int {
-	waiting := make(map[*server]int)
+func (d *Dispatcher) waitingByServer(now time.Duration) map[*server]quota.Waiting {
+	waiting := make(map[*server]quota.Waiting)
 	for _, s := range d.services {
 		if !slices.ContainsFunc(s.servers, func(server *server) bool { return server.limiter.Limited() }) {
 			continue
 		}
 		for i, w := range s.queue {
 			if limited := s.choose(w.request, now, 0).limited; len(limited) > 0 {
-				waiting[limited[i%len(limited)]]++
+				server := limited[i%len(limited)]
+				counts := waiting[server]
+				counts[quota.Level(w.request.Priority)]++
+				waiting[server] = counts
 			}
 		}
 	}
--- a/internal/dispatch/limits_test.go
+++ b/internal/dispatch/limits_test.go
@@ -72,7 +72,7 @@
 			placed <- reservation
 		}()
 		synctest.Wait()
-		if reports := d.QuotaReports(); len(reports) != 1 || reports[0].Usage.Waiting != 1 || reports[0].Usage.Wanted != 1 {
+		if reports := d.QuotaReports(); len(reports) != 1 || reports[0].Usage.Waiting != (quota.Waiting{1}) || reports[0].Usage.Wanted != 1 {
 			t.Fatalf("reports %+v, want one with a waiting request", reports)
 		}
 		grant.Permits = 1
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -101,7 +101,7 @@
 	state := func(i int) placing.Server { return s.servers[i].state(now, meanRunTime, meanPeerRequests) }
 	candidates := s.candidates(request, now)
 	if len(candidates.SameZone)+len(candidates.OtherZones) == 0 && len(s.limited) > 0 {
-		wait := s.limitedWait(s.limited, ahead, now)
+		wait := s.limitedWait(request, s.limited, ahead, now)
 		return choice{reason: ReasonLimited, limited: s.limited, wait: wait, runTime: meanRunTime}
 	}
 	if len(candidates.SameZone)+len(candidates.OtherZones) == 0 {
@@ -185,7 +185,8 @@
 	}
 	if !owner.limiter.Admits(now, s.gateways) {
 		limited := append(s.limited[:0], owner)
-		return choice{reason: ReasonLimited, limited: limited, wait: owner.limiter.Wait(ahead, now, s.gateways), runTime: state.RunTime}
+		wait := s.limitedWait(request, limited, ahead, now)
+		return choice{reason: ReasonLimited, limited: limited, wait: wait, runTime: state.RunTime}
 	}
 	if state.HasRoom(placing.Limits{Target: request.Target}) {
 		return choice{server: owner, state: state, token: row.Token, runTime: state.RunTime}
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -36,8 +36,8 @@
 	Statement Statement
 	// Permits is the number of additional requests that the gateway may send within PermitLifetime.
 	Permits int
-	// Wait is the expected time until the gateway is issued a permit for another request.
-	Wait time.Duration
+	// Waits are the expected times until the gateway is issued a permit for another request.
+	Waits Waits
 }
 
 // Allocator divides the rates of backend servers among the gateways. The elected gateway has one.
@@ -91,24 +91,28 @@
 		}
 		reached := float64(len(hosts)) / float64(max(gateways, len(hosts), 1))
 		issued := s.issue(hosts, reached, now)
-		wait := s.wait(s.statement.effectiveLimit() * reached)
+		waits := s.waits(s.statement.effectiveLimit() * reached)
 		for _, host := range hosts {
 			grants[host] = append(grants[host], Grant{
-				Server: server, Statement: s.statement, Permits: issued[host], Wait: wait,
+				Server: server, Statement: s.statement, Permits: issued[host], Waits: waits,
 			})
 		}
 	}
 	return grants
 }
 
-// wait returns the expected time until a permit is issued for another request, after those that wait already. limit is
-// the number of permits a second.
-func (s *allocation) wait(limit float64) time.Duration {
-	waiting := 1 - s.tokens
-	for _, m := range s.members {
-		waiting += float64(m.waiting)
+// waits returns the expected times until a permit is issued for another request, after those that wait already and are as
+// urgent. limit is the number of permits a second.
+func (s *allocation) waits(limit float64) Waits {
+	var waits Waits
+	missing := 1 - s.tokens
+	for level := range waits {
+		for _, m := range s.members {
+			missing += float64(m.waiting[level])
+		}
+		waits[level] = exchangeTime + time.Duration(max(0, missing)/limit*float64(time.Second))
 	}
-	return exchangeTime + time.Duration(max(0, waiting)/limit*float64(time.Second))
+	return waits
 }
 
 // issue accrues a share of the limit and issues permits for it. It returns the number of permits by host.
@@ -143,12 +147,14 @@
 	}
 }
 
-// next returns the host that gets the next permit, or "" if none can use another one: first hosts at which requests wait,
-// then hosts that will need one.
+// next returns the host that gets the next permit, or "" if none can use another one: first hosts at which the most
+// urgent requests wait, then hosts that will need one.
 func (s *allocation) next(hosts []string, now time.Duration) string {
-	waiting := func(m *member) bool { return m.waiting > 0 }
-	if host := s.nextOf(hosts, now, waiting); host != "" {
-		return host
+	for level := range Levels {
+		waiting := func(m *member) bool { return m.waiting[level] > 0 }
+		if host := s.nextOf(hosts, now, waiting); host != "" {
+			return host
+		}
 	}
 	return s.nextOf(hosts, now, func(m *member) bool {
 		return m.mayHoldMore(now) && (!m.idle(now) || s.tokens >= s.maxTokens()*reservedShare)
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -101,7 +101,7 @@
 	f.wanted++
 	g.limiter.Want()
 	if !g.limiter.Admits(f.now, len(f.gateways)) {
-		if g.limiter.Wait(len(g.waiting), f.now, len(f.gateways)) <= patience {
+		if g.limiter.Wait(0, len(g.waiting), f.now, len(f.gateways)) <= patience {
 			g.waiting = append(g.waiting, f.now+patience)
 		}
 		return
@@ -150,7 +150,7 @@
 			continue
 		}
 		hosts = append(hosts, g.host)
-		if usage, due := g.limiter.Report(f.now, len(f.gateways), len(g.waiting)); due {
+		if usage, due := g.limiter.Report(f.now, len(f.gateways), Waiting{len(g.waiting)}); due {
 			report := Report{Server: testServer, Statement: g.limiter.Statement(), Usage: usage}
 			f.send(func(now time.Duration) { f.allocator.Report(g.host, report, now) })
 		}
@@ -278,3 +278,20 @@
 		t.Fatal("the limit goes on after a later response without one")
 	}
 }
+
+// Guards against less urgent requests that are issued permits before more urgent ones.
+func TestUrgentRequestsFirst(t *testing.T) {
+	a := NewAllocator()
+	statement := Statement{Limited: true, Limit: 10, At: time.Second}
+	now := time.Second
+	a.Report("a", Report{Server: testServer, Statement: statement, Usage: Usage{Wanted: 9, Waiting: Waiting{0, 0, 9}}}, now)
+	a.Report("b", Report{Server: testServer, Statement: statement, Usage: Usage{Wanted: 2, Waiting: Waiting{1: 2}}}, now)
+	now += 200 * time.Millisecond
+	grants := a.Allocate([]string{"a", "b"}, 2, now)
+	if grants["a"][0].Permits != 0 || grants["b"][0].Permits != 2 {
+		t.Fatalf("grants %+v, want two permits for the more urgent requests", grants)
+	}
+	if waits := grants["a"][0].Waits; waits[0] >= waits[2] {
+		t.Fatalf("waits %v, want a shorter one for more urgent requests", waits)
+	}
+}
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -18,8 +18,8 @@
 type Usage struct {
 	// Wanted is the number of requests for which the server was wanted, whether or not they were sent to it.
 	Wanted int
-	// Waiting is the number of requests that wait for a permit now.
-	Waiting int
+	// Waiting are the requests that wait for a permit now.
+	Waiting Waiting
 	// Used and Returned are the numbers of permits that were used and that expired or were given back.
 	Used, Returned int
 }
@@ -30,15 +30,15 @@
 	share     localShare
 	// expiries are the times at which the unused permits expire, the earliest first.
 	expiries []time.Duration
-	// wait is the expected time until the elected gateway issues a permit, if there is a request for it.
-	wait time.Duration
+	// waits are the expected times until the elected gateway issues a permit, if there is a request for it.
+	waits Waits
 	// allocatedUntil is the time until which permits are relied on.
 	allocatedUntil time.Duration
 	usage          Usage
 	reportedAt     time.Duration
 	// reported and reportedWaiting are the statement and the number of waiting requests in the last report.
 	reported        Statement
-	reportedWaiting int
+	reportedWaiting Waiting
 	// endedAt is the time at which the last limit ended, or 0 if none has.
 	endedAt time.Duration
 }
@@ -81,7 +81,7 @@
 	if !l.statement.Limited {
 		return changed
 	}
-	l.allocatedUntil, l.wait = now+allocationTimeout, grant.Wait
+	l.allocatedUntil, l.waits = now+allocationTimeout, grant.Waits
 	for range grant.Permits {
 		l.expiries = append(l.expiries, now+PermitLifetime)
 	}
@@ -126,10 +126,10 @@
 	}
 }
 
-// Wait returns the expected time until a request is admitted, after ahead others.
-func (l *Limiter) Wait(ahead int, now time.Duration, gateways int) time.Duration {
+// Wait returns the expected time until a request of a level of urgency is admitted, after ahead others of this gateway.
+func (l *Limiter) Wait(level, ahead int, now time.Duration, gateways int) time.Duration {
 	if l.allocated(now) {
-		return l.wait + perRate(ahead, l.statement.effectiveLimit())
+		return l.waits[level] + perRate(ahead, l.statement.effectiveLimit())
 	}
 	return perRate(ahead+1, l.share.rate(l.statement.effectiveLimit(), gateways))
 }
@@ -158,9 +158,9 @@
 	l.share.advance(now, l.statement.effectiveLimit(), gateways)
 }
 
-// Report returns the usage since the last report, and whether there is anything to report. waiting is the number of
-// requests that wait for a permit.
-func (l *Limiter) Report(now time.Duration, gateways, waiting int) (Usage, bool) {
+// Report returns the usage since the last report, and whether there is anything to report. waiting are the requests
+// that wait for a permit.
+func (l *Limiter) Report(now time.Duration, gateways int, waiting Waiting) (Usage, bool) {
 	if l.statement.Limited {
 		l.advance(now, gateways)
 	}
--- a/internal/quota/member.go
+++ b/internal/quota/member.go
@@ -20,8 +20,8 @@
 	// demand is the moving average of the requests a second, as of demandAt.
 	demand   float64
 	demandAt time.Duration
-	// waiting is the number of requests that wait at the gateway for a permit that is not issued yet.
-	waiting int
+	// waiting are the requests that wait at the gateway for a permit that is not issued yet.
+	waiting Waiting
 	// credit orders the gateways for the next permit.
 	credit float64
 	// issued are the times of the permits that are neither used nor returned, the earliest first.
@@ -37,13 +37,14 @@
 	returned := min(usage.Returned, len(m.issued))
 	m.issued = m.issued[returned:]
 	// The permits that are left were on their way when the gateway reported.
-	m.waiting = max(0, usage.Waiting-len(m.issued))
+	m.waiting = usage.Waiting
+	m.waiting.remove(len(m.issued))
 	return returned
 }
 
 func (m *member) issue(now time.Duration) {
 	m.issued = append(m.issued, now)
-	m.waiting = max(0, m.waiting-1)
+	m.waiting.remove(1)
 }
 
 // expire drops permits that the gateway should have reported long ago. They count as used.
--- a/internal/relay/quota.go
+++ b/internal/relay/quota.go
@@ -14,7 +14,7 @@
 		messages = append(messages, &wire.QuotaReport{
 			Statement: encodeStatement(report.Server, report.Statement, now),
 			Wanted:    uint32(report.Usage.Wanted),
-			Waiting:   uint32(report.Usage.Waiting),
+			Waiting:   encodeWaiting(report.Usage.Waiting),
 			Used:      uint32(report.Usage.Used),
 			Returned:  uint32(report.Usage.Returned),
 		})
@@ -30,7 +30,7 @@
 			Server:    message.GetStatement().GetServer(),
 			Statement: decodeStatement(message.GetStatement(), now),
 			Usage: quota.Usage{
-				Wanted: int(message.Wanted), Waiting: int(message.Waiting), Used: int(message.Used), Returned: int(message.Returned),
+				Wanted: int(message.Wanted), Waiting: decodeWaiting(message.Waiting), Used: int(message.Used), Returned: int(message.Returned),
 			},
 		})
 	}
@@ -44,7 +44,7 @@
 		messages = append(messages, &wire.QuotaGrant{
 			Statement: encodeStatement(grant.Server, grant.Statement, now),
 			Permits:   uint32(grant.Permits),
-			WaitMs:    uint32(grant.Wait.Milliseconds()),
+			WaitsMs:   encodeWaits(grant.Waits),
 		})
 	}
 	return messages
@@ -58,7 +58,7 @@
 			Server:    message.GetStatement().GetServer(),
 			Statement: decodeStatement(message.GetStatement(), now),
 			Permits:   int(message.Permits),
-			Wait:      time.Duration(message.WaitMs) * time.Millisecond,
+			Waits:     decodeWaits(message.WaitsMs),
 		})
 	}
 	return grants
@@ -79,3 +79,35 @@
 		At:      now - time.Duration(message.GetAgeMs())*time.Millisecond,
 	}
 }
+
+func encodeWaiting(waiting quota.Waiting) []uint32 {
+	counts := make([]uint32, len(waiting))
+	for level, count := range waiting {
+		counts[level] = uint32(count)
+	}
+	return counts
+}
+
+func decodeWaiting(counts []uint32) quota.Waiting {
+	var waiting quota.Waiting
+	for level, count := range counts {
+		waiting[quota.Level(level)] += int(count)
+	}
+	return waiting
+}
+
+func encodeWaits(waits quota.Waits) []uint32 {
+	ms := make([]uint32, len(waits))
+	for level, wait := range waits {
+		ms[level] = uint32(wait.Milliseconds())
+	}
+	return ms
+}
+
+func decodeWaits(ms []uint32) quota.Waits {
+	var waits quota.Waits
+	for level, wait := range ms {
+		waits[quota.Level(level)] = time.Duration(wait) * time.Millisecond
+	}
+	return waits
+}
