--- a/internal/controller/updates.go
+++ b/internal/controller/updates.go
@@ -34,6 +34,7 @@
 // applyListing replaces the state with a complete listing of the store.
 func (c *Controller) applyListing(update mirror.Update) {
 	if update.AsOf < c.asOf {
+		c.Log.WithField("revision", update.AsOf).WithField("known", c.asOf).Info("listing of the store is older than what is known; ignored")
 		return
 	}
 	c.asOf = update.AsOf
@@ -63,6 +64,7 @@
 // applyEvents applies changes, and forwards the new ones to the other gateways.
 func (c *Controller) applyEvents(update mirror.Update) {
 	var newEvents []kv.Event
+	defer func() { c.logIgnoredEvents(len(update.Events)-len(newEvents), update.AsOf) }()
 	for _, event := range update.Events {
 		if event.Revision <= c.asOf || event.Revision <= c.items[event.Key].Revision {
 			continue
@@ -80,6 +82,14 @@
 	c.relayEvents(newEvents, update.AsOf)
 }
 
+// logIgnoredEvents logs that changes were ignored because they are not above the known revisions. Some are expected: the
+// elected gateway relays changes that this one has read itself.
+func (c *Controller) logIgnoredEvents(count int, asOf kv.Revision) {
+	if count > 0 {
+		c.Log.WithField("events", count).WithField("revision", asOf).WithField("known", c.asOf).Debug("known changes ignored")
+	}
+}
+
 // decodeServer decodes the entry of a backend server. It returns false if the item is not a valid entry of one.
 func (c *Controller) decodeServer(item kv.Item) (directory.Server, bool) {
 	kind, id := c.Entries.Classify(item.Key)
--- a/internal/kv/memory.go
+++ b/internal/kv/memory.go
@@ -13,6 +13,7 @@
 type MemoryStore struct {
 	// mu protects the fields below.
 	mu       sync.Mutex
+	era      int
 	revision Revision
 	items    map[string]Item
 	history  []Event
@@ -82,7 +83,7 @@
 func (m *MemoryStore) eventsAfter(prefix string, after Revision) (Changes, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if after < m.compacted {
+	if after < m.compacted || after > m.revision {
 		return Changes{}, nil, ErrCompacted
 	}
 	changes := Changes{AsOf: m.revision}
