--- a/internal/controller/assign.go
+++ b/internal/controller/assign.go
@@ -43,7 +43,7 @@
 type assignment struct {
 	assigner *ownership.Assigner
 	planner  *ownership.Planner
-	// revision is the revision of the recorded table, or 0 if there is none.
+	// revision is the revision of the recorded table, or zero if there is none.
 	revision kv.Revision
 	writing  bool
 	// reloadAt is when the table is read again, if it could not be decoded. It is 0 while the table is being loaded.
@@ -95,6 +95,7 @@
 
 // assignerLoaded creates the assigner from the recorded table, or an empty one if no table is recorded.
 func (c *Controller) assignerLoaded(service string, a *assignment, term kv.Revision, item kv.Item, err error) {
+	c.observeCallEra(item.Revision.Era)
 	if c.assigners[service] != a || term != c.election.Term() {
 		return
 	}
@@ -102,7 +103,7 @@
 	log := c.Log.WithFields(logrus.Fields{"service": service, "term": term})
 	switch {
 	case errors.Is(err, kv.ErrNotFound):
-		a.assigner = ownership.NewAssigner(c.Ownership)
+		a.assigner = ownership.NewAssigner(c.Ownership, uint64(term.Era))
 		a.nextPlanAt = now + initialPlanDelay
 		log.Info("no recorded ownership table; planning ownership from scratch")
 	case err != nil:
@@ -115,7 +116,7 @@
 			a.reloadAt = now + reloadDelay
 			return
 		}
-		a.assigner = ownership.NewAssignerFromTable(c.Ownership, table, now)
+		a.assigner = c.newAssigner(service, table, now)
 		for _, host := range c.server.Hosts() {
 			a.assigner.HostStopped(host, now)
 		}
@@ -229,6 +230,7 @@
 		return
 	}
 	table, sequence := a.assigner.Table(now)
+	table.Era = uint64(c.election.Term().Era)
 	value, err := table.Encode()
 	if err != nil {
 		c.Log.WithError(err).Error("failed to encode ownership table; it is not recorded")
--- a/internal/controller/broadcast.go
+++ b/internal/controller/broadcast.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/sapphireplank/sapphireplank/internal/boottime"
-	"github.com/sapphireplank/sapphireplank/internal/election"
 	"github.com/sapphireplank/sapphireplank/internal/kv"
 	"github.com/sapphireplank/sapphireplank/internal/relay"
 	"github.com/sapphireplank/sapphireplank/internal/wire"
@@ -76,7 +75,7 @@
 	}
 	heartbeat := &wire.RelayDown{
 		Fresh:    now-c.broadcasts.lastStoreContact < storeContactTimeout,
-		AsOf:     int64(c.asOf),
+		AsOf:     c.asOf.Number,
 		Gateways: uint32(c.gateways.value(now)),
 		ReportMs: uint32(c.currentReportInterval().Milliseconds()),
 		LagMs:    c.lagMs(),
@@ -145,7 +144,7 @@
 // Connected implements relay.Receiver.
 func (c *Controller) Connected(session *relay.Session) {
 	c.enqueue(func() {
-		if c.election.State() != election.StateLeading {
+		if !c.election.Acting() {
 			session.Close()
 			return
 		}
@@ -164,7 +163,7 @@
 
 // sendLoads sends all request counts by backend server. Later messages contain only changes to them.
 func (c *Controller) sendLoads(session *relay.Session) {
-	message, err := relay.Encode(&wire.RelayDown{HasLoad: true, Load: relay.EncodeLoads(c.broadcasts.loads)})
+	message, err := c.encode(&wire.RelayDown{HasLoad: true, Load: relay.EncodeLoads(c.broadcasts.loads)})
 	if err != nil {
 		c.Log.WithError(err).Error("failed to encode request counts; the connected gateway uses the load reported by the servers")
 		return
@@ -178,11 +177,11 @@
 	if c.broadcasts.fullUpdate != nil && c.broadcasts.fullUpdateRevision == c.asOf {
 		return c.broadcasts.fullUpdate, true
 	}
-	update := &wire.RelayDown{Full: true, AsOf: int64(c.asOf)}
+	update := &wire.RelayDown{Full: true, AsOf: c.asOf.Number}
 	for _, item := range c.items {
 		update.Items = append(update.Items, relay.EncodeEvent(kv.Event{Item: c.withValue(item)}))
 	}
-	message, err := relay.Encode(update)
+	message, err := c.encode(update)
 	if err != nil {
 		c.Log.WithError(err).Error("failed to encode the contents of the store; the other gateways follow the store themselves")
 		return nil, false
@@ -208,9 +207,15 @@
 	return item
 }
 
+// encode encodes a message to other gateways. Its revisions are those of the known era.
+func (c *Controller) encode(update *wire.RelayDown) (relay.Message, error) {
+	update.Era = uint64(c.asOf.Era)
+	return relay.Encode(update)
+}
+
 // broadcast sends a message to all other gateways.
 func (c *Controller) broadcast(update *wire.RelayDown) {
-	message, err := relay.Encode(update)
+	message, err := c.encode(update)
 	if err != nil {
 		c.Log.WithError(err).Error("failed to encode message; the other gateways follow the store themselves")
 		c.server.CloseAll()
@@ -237,10 +242,10 @@
 
 // relayEvents forwards changes of the store to the other gateways if this gateway is the elected one.
 func (c *Controller) relayEvents(events []kv.Event, asOf kv.Revision) {
-	if c.election.State() != election.StateLeading || len(events) == 0 {
+	if !c.election.Acting() || len(events) == 0 {
 		return
 	}
-	update := &wire.RelayDown{AsOf: int64(asOf), LagMs: c.lagMs()}
+	update := &wire.RelayDown{AsOf: asOf.Number, LagMs: c.lagMs()}
 	for _, event := range events {
 		update.Items = append(update.Items, relay.EncodeEvent(event))
 	}
--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -32,8 +32,13 @@
 		if call.Kind == election.CallRenew {
 			ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 			defer cancel()
-			err := c.Store.RenewLease(ctx, call.Lease)
-			c.enqueue(func() { c.leaseRenewed(err, started) })
+			era, err := c.Store.RenewLease(ctx, call.Lease)
+			c.enqueue(func() { c.leaseRenewed(era, err, started) })
+			return
+		}
+		if call.Kind == election.CallReclaim {
+			result, err := c.reclaim(ctx, call)
+			c.enqueue(func() { c.reclaimDone(result, err, started) })
 			return
 		}
 		if call.Kind == election.CallWithdraw {
@@ -46,15 +51,16 @@
 	}()
 }
 
-func (c *Controller) leaseRenewed(err error, started time.Duration) {
-	before := c.election.State()
-	c.election.RenewalDone(err, started)
+func (c *Controller) leaseRenewed(era kv.Era, err error, started time.Duration) {
+	c.observeCallEra(era)
+	wasActing := c.election.Acting()
+	c.election.RenewalDone(era, err, started)
 	if err != nil {
 		c.Log.WithError(err).Info("failed to renew the election lease")
 	} else {
 		c.broadcasts.lastStoreContact = c.Clock()
 	}
-	c.electionChanged(before)
+	c.electionChanged(wasActing)
 }
 
 // withdraw removes the record of an earlier process on this host, so that the others need not wait for its lease.
@@ -85,13 +91,18 @@
 	c.Log.WithFields(logrus.Fields{"term": result.Term}).Info("elected")
 }
 
-// campaign records this gateway as the elected one under a new lease, if no gateway is elected. If the outcome of the
-// write is unknown, it reads the record to find out.
+// campaign records this gateway as the elected one under a new lease, if no gateway is elected.
 func (c *Controller) campaign(ctx context.Context, value []byte) (election.CampaignResult, error) {
 	lease, err := c.Store.GrantLease(ctx, c.Election.TTL)
 	if err != nil {
 		return election.CampaignResult{}, err
 	}
+	return c.writeRecord(ctx, lease, value)
+}
+
+// writeRecord writes the record of this gateway under a lease if there is no record. If the outcome of the write is
+// unknown, it reads the record to find out.
+func (c *Controller) writeRecord(ctx context.Context, lease kv.LeaseID, value []byte) (election.CampaignResult, error) {
 	revision, err := c.Store.Commit(ctx, kv.Txn{
 		Conditions: []kv.Condition{{Key: election.Key}},
 		Puts:       []kv.Put{{Key: election.Key, Value: value, Lease: lease}},
@@ -133,11 +144,16 @@
 // than when the watch of this gateway returns it.
 func (c *Controller) tableRecorded(a *assignment, item kv.Item, sequence uint64) {
 	a.writing = false
+	c.observeCallEra(item.Revision.Era)
+	if item.Revision.Era != c.election.Era() || item.Revision.Era != c.asOf.Era {
+		// The write is part of a history that is lost, or this gateway has not read the new one yet.
+		return
+	}
 	a.revision = item.Revision
 	a.assigner.MarkRecorded(sequence)
 	service := strings.TrimPrefix(item.Key, tableKeyPrefix)
 	before, base := c.tables[service], c.items[item.Key].Revision
-	if before == nil || base == 0 {
+	if before == nil || base.IsZero() {
 		c.applyUpdate(mirror.Update{Events: []kv.Event{{Item: item}}})
 		return
 	}
@@ -146,7 +162,7 @@
 	c.applyItem(item)
 	c.dirty = true
 	delta := c.tables[service].Delta(before)
-	delta.Service, delta.Base, delta.Revision = service, int64(base), int64(item.Revision)
+	delta.Service, delta.Base, delta.Revision = service, base.Number, item.Revision.Number
 	c.broadcast(&wire.RelayDown{Tables: []*wire.OwnershipDelta{delta}})
 }
 
@@ -156,9 +172,10 @@
 	c.Log.WithError(err).WithField("service", service).Info("failed to record ownership table; retrying")
 	switch {
 	case readErr == nil:
+		c.observeCallEra(item.Revision.Era)
 		a.revision = item.Revision
 	case errors.Is(readErr, kv.ErrNotFound):
-		a.revision = 0
+		a.revision = kv.Revision{}
 	default:
 		c.Log.WithError(readErr).Info("failed to read ownership table after a failed write")
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net"
 	"sync/atomic"
 	"time"
@@ -110,6 +111,8 @@
 	publishedAt time.Duration
 	// metricsUpdatedAt is the time of the last update of the metrics.
 	metricsUpdatedAt time.Duration
+	// leaders are the hosts of the other gateways that were seen as the elected one, with the time at which they last were.
+	leaders map[string]time.Duration
 	// stopping is set once this gateway is to resign. It does not campaign any more.
 	stopping bool
 	// resigning is set while the end of the election lease is being requested. Meanwhile this gateway sends no orders.
@@ -125,8 +128,9 @@
 		aggregator: relay.NewAggregator(options.Clock),
 		directory:  directory.New(),
 		tables:     make(map[string]*ownership.Table),
-		election:   election.New(options.Election, election.Leader{Host: options.Host, Addr: options.Addr}),
+		election:   election.New(options.Election, election.Leader{Host: options.Host, Addr: options.Addr, ID: rand.Text()}),
 		assigners:  make(map[string]*assignment),
+		leaders:    make(map[string]time.Duration),
 		meters:     make(map[string]*ownership.RateMeter),
 		allocator:  quota.NewAllocator(),
 		items:      make(map[string]kv.Item),
@@ -196,16 +200,16 @@
 		c.dirty = true
 		c.serversVersion++
 	}
-	if c.stopping && c.election.State() != election.StateLeading {
+	if c.stopping && !c.election.Acting() {
 		return
 	}
 	c.chooseSource(ctx)
-	before := c.election.State()
-	if call, due := c.election.NextCall(now); due && (call.Kind == election.CallRenew || !c.stopping) {
+	wasActing := c.election.Acting()
+	if call, due := c.election.NextCall(now); due && (c.election.Acting() || !c.stopping) {
 		c.startElectionCall(ctx, call, now)
 	}
-	c.electionChanged(before)
-	if c.election.State() == election.StateLeading && !c.resigning {
+	c.electionChanged(wasActing)
+	if c.election.Acting() && !c.resigning {
 		c.runAssigners(ctx, now)
 		c.broadcastDue()
 	}
@@ -220,7 +224,8 @@
 	}
 	c.metricsUpdatedAt = now
 	state := observe.State{
-		Elected:         c.election.State() == election.StateLeading,
+		Elected:         c.election.Acting(),
+		StoreEra:        uint64(c.election.Era()),
 		Servers:         len(c.directory.Servers()),
 		Gateways:        c.gateways.value(now),
 		StoreContactAge: now - max(c.broadcasts.lastStoreContact, c.source.lastFresh),
@@ -237,9 +242,9 @@
 // metricsInterval is the time between two updates of the metrics.
 const metricsInterval = time.Second
 
-// electionChanged stops the duties of the elected gateway if this one was elected before and no longer is.
-func (c *Controller) electionChanged(before string) {
-	if before != election.StateLeading || c.election.State() == election.StateLeading {
+// electionChanged stops the duties of the elected gateway if this one acted as it before and no longer does.
+func (c *Controller) electionChanged(wasActing bool) {
+	if !wasActing || c.election.Acting() {
 		return
 	}
 	c.Log.WithField("term", c.election.Term()).Info("no longer the elected gateway")
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -25,6 +25,9 @@
 
 const testKeys = 64
 
+// at returns a revision of the first era.
+func at(number int64) kv.Revision { return kv.Revision{Number: number} }
+
 // testEntryDecoder decodes entries that are the types of this module encoded as JSON.
 type testEntryDecoder struct{}
 
@@ -289,9 +292,9 @@
 	return s.Store.Watch(ctx, prefix, after, min(wait, 100*time.Millisecond))
 }
 
-func (s *failingStore) RenewLease(ctx context.Context, id kv.LeaseID) error {
+func (s *failingStore) RenewLease(ctx context.Context, id kv.LeaseID) (kv.Era, error) {
 	if s.unavailable.Load() {
-		return kv.ErrUnavailable
+		return 0, kv.ErrUnavailable
 	}
 	return s.Store.RenewLease(ctx, id)
 }
@@ -341,18 +344,18 @@
 		c.observeLeader(revision, kv.Item{Key: election.Key, Value: record, Revision: revision, Created: revision})
 		c.connectToLeader(t.Context(), c.Clock())
 	}
-	observeLeader(1, "g2")
+	observeLeader(at(1), "g2")
 	connectionID := c.source.connectionID
-	observeLeader(2, "g1")
+	observeLeader(at(2), "g1")
 	stale := []*wire.RelayDown{
-		{Full: true, AsOf: 9, Items: []*wire.RelayItem{relay.EncodeEvent(kv.Event{Item: kv.Item{Key: "old", Value: []byte("x"), Revision: 9}})}},
+		{Full: true, AsOf: 9, Items: []*wire.RelayItem{relay.EncodeEvent(kv.Event{Item: kv.Item{Key: "old", Value: []byte("x"), Revision: at(9)}})}},
 		{Tables: []*wire.OwnershipDelta{{Service: "s", Base: 3, Revision: 4}}},
 	}
 	for _, message := range stale {
 		c.handleRelayMessage(connectionID, message)
 	}
-	if c.asOf != 0 {
-		t.Fatalf("contents as of revision %d of a former elected gateway were applied", c.asOf)
+	if !c.asOf.IsZero() {
+		t.Fatalf("contents as of revision %v of a former elected gateway were applied", c.asOf)
 	}
 }
 
--- a/internal/controller/fuzz_test.go
+++ b/internal/controller/fuzz_test.go
@@ -16,13 +16,13 @@
 
 // FuzzRelayMessage guards against a message between gateways that makes the receiver panic.
 func FuzzRelayMessage(f *testing.F) {
-	assigner := ownership.NewAssigner(ownership.Settings{Keys: testKeys})
+	assigner := ownership.NewAssigner(ownership.Settings{Keys: testKeys}, 0)
 	table, _ := assigner.Table(0)
 	value, err := table.Encode()
 	if err != nil {
 		f.Fatal(err)
 	}
-	item := relay.EncodeEvent(kv.Event{Item: kv.Item{Key: tableKeyPrefix + "s", Value: value, Revision: 5, Created: 5}})
+	item := relay.EncodeEvent(kv.Event{Item: kv.Item{Key: tableKeyPrefix + "s", Value: value, Revision: at(5), Created: at(5)}})
 	for _, message := range []*wire.RelayDown{
 		{Full: true, AsOf: 5, Items: []*wire.RelayItem{item}},
 		{Fresh: true, AsOf: 6, Gateways: 3, ReportMs: 100},
--- a/internal/controller/quotas.go
+++ b/internal/controller/quotas.go
@@ -28,7 +28,7 @@
 	c.DataPlane.SetQuotas(grants[c.Host])
 	delete(grants, c.Host)
 	for host, part := range grants {
-		message, err := relay.Encode(&wire.RelayDown{Quotas: relay.EncodeQuotaGrants(part, now)})
+		message, err := c.encode(&wire.RelayDown{Quotas: relay.EncodeQuotaGrants(part, now)})
 		if err != nil {
 			c.Log.WithError(err).Error("failed to encode quotas; the gateway uses its own share of each limit")
 			continue
--- a/internal/controller/resign.go
+++ b/internal/controller/resign.go
@@ -6,7 +6,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/sapphireplank/sapphireplank/internal/election"
 	"github.com/sapphireplank/sapphireplank/internal/kv"
 )
 
@@ -47,7 +46,7 @@
 	lease := make(chan kv.LeaseID, 1)
 	c.enqueue(func() {
 		c.stopping = true
-		if c.election.State() != election.StateLeading {
+		if !c.election.Acting() {
 			c.stepDown()
 			lease <- 0
 			return
@@ -73,7 +72,7 @@
 
 // stepDown ends the duties of the elected gateway.
 func (c *Controller) stepDown() {
-	before := c.election.State()
+	wasActing := c.election.Acting()
 	c.election.Resign()
-	c.electionChanged(before)
+	c.electionChanged(wasActing)
 }
--- /dev/null
+++ b/internal/controller/restore.go
@@ -0,0 +1,151 @@
+package controller
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/sapphireplank/sapphireplank/internal/boottime"
+	"github.com/sapphireplank/sapphireplank/internal/election"
+	"github.com/sapphireplank/sapphireplank/internal/kv"
+	"github.com/sapphireplank/sapphireplank/internal/ownership"
+)
+
+// observeCallEra processes the era in which the store answered a call other than those of the mirror.
+func (c *Controller) observeCallEra(era kv.Era) {
+	if c.observeEra(era) {
+		c.restartMirror()
+	}
+}
+
+// observeEra processes the era in which the store answered, and reports whether the store came back from an earlier copy.
+// The known revisions mean nothing any more then: the elected gateway writes again what it knows.
+func (c *Controller) observeEra(era kv.Era) bool {
+	if !c.election.ObserveEra(boottime.Now(), era) {
+		return false
+	}
+	c.Log.WithField("era", era).WithField("known", c.asOf).Warning("store came back from an earlier copy; reading it again")
+	c.directory.RecordRestore(c.Clock())
+	for _, a := range c.assigners {
+		a.revision = kv.Revision{}
+		if a.assigner != nil {
+			a.assigner.MarkUnrecorded()
+		}
+	}
+	return true
+}
+
+// restartMirror makes chooseSource start another mirror of the store, whose first watch finds that the history is gone.
+func (c *Controller) restartMirror() {
+	if c.source.stopMirror != nil {
+		c.source.stopMirror()
+		c.source.stopMirror = nil
+	}
+}
+
+// reclaim finds the record of this gateway in a restored store, or writes it again under a new lease. It removes the
+// record of an election that has ended. The error is kv.ErrConflict if another gateway was elected.
+func (c *Controller) reclaim(ctx context.Context, call election.Call) (election.CampaignResult, error) {
+	item, err := c.Store.Get(ctx, election.Key)
+	switch {
+	case errors.Is(err, kv.ErrNotFound):
+		return c.campaign(ctx, call.Value)
+	case err != nil:
+		return election.CampaignResult{}, err
+	}
+	leader, err := election.DecodeLeader(item.Value)
+	switch {
+	case err != nil:
+		return election.CampaignResult{}, err
+	case leader.ID == call.ID:
+		return election.CampaignResult{Term: item.Created, Lease: item.Lease}, nil
+	case !slices.Contains(call.Ended, leader.ID):
+		return election.CampaignResult{}, errors.Wrapf(kv.ErrConflict, "gateway %q was elected", leader.Host)
+	}
+	if err := c.withdraw(ctx, item.Revision); err != nil && !errors.Is(err, kv.ErrConflict) {
+		return election.CampaignResult{}, err
+	}
+	return c.campaign(ctx, call.Value)
+}
+
+func (c *Controller) reclaimDone(result election.CampaignResult, err error, started time.Duration) {
+	c.observeCallEra(result.Term.Era)
+	wasActing := c.election.Acting()
+	c.election.ReclaimDone(result, err, started, boottime.Now())
+	if err != nil {
+		c.Log.WithError(err).Info("failed to reclaim the election")
+	} else {
+		c.Log.WithFields(logrus.Fields{"term": result.Term}).Info("reclaimed the election")
+		c.reloadAssigners()
+	}
+	c.electionChanged(wasActing)
+}
+
+// reloadAssigners begins again to load the tables that were being loaded, because the term has changed.
+func (c *Controller) reloadAssigners() {
+	for service, a := range c.assigners {
+		if a.assigner == nil {
+			delete(c.assigners, service)
+		}
+	}
+}
+
+// keepNewerTables keeps the known ownership tables that are newer than those of a restored store, until the elected
+// gateway has written its own again. restored is true if this is the first listing of the store since.
+func (c *Controller) keepNewerTables(known map[string]*ownership.Table, restored bool) {
+	for service, table := range known {
+		found := c.tables[service]
+		if found == nil && !restored || found != nil && !lacksChanges(found, c.asOf.Era, table) {
+			continue
+		}
+		key := tableKeyPrefix + service
+		c.tables[service] = table
+		c.items[key] = kv.Item{Key: key}
+		c.Log.WithField("service", service).Info("ownership table of the restored store is older than the known one; kept the latter")
+	}
+}
+
+// lacksChanges reports whether a table that is found in an era of the store is older than a known one.
+func lacksChanges(found *ownership.Table, era kv.Era, known *ownership.Table) bool {
+	return kv.Era(found.Era) < era && known != nil && found.NextToken < known.NextToken
+}
+
+// rememberLeader records that a gateway is the elected one until now.
+func (c *Controller) rememberLeader() {
+	if leader, known := c.election.Leader(); known && leader.Host != c.Host {
+		c.leaders[leader.Host] = c.Clock()
+	}
+}
+
+// recentLeaders returns the hosts of the gateways that were seen as the elected one so recently that they may still act as
+// it.
+func (c *Controller) recentLeaders() []string {
+	var hosts []string
+	for host, last := range c.leaders {
+		if c.Clock()-last <= c.Election.TTL+c.Election.OutageGrace {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
+// newAssigner returns an assigner that continues from a table that was recorded in the current era or, with the known
+// table if that is newer, in an earlier one.
+func (c *Controller) newAssigner(service string, recorded *ownership.Table, now time.Duration) *ownership.Assigner {
+	era := uint64(c.election.Term().Era)
+	if recorded.Era == era {
+		return ownership.NewAssignerFromTable(c.Ownership, recorded, now)
+	}
+	if known := c.tables[service]; lacksChanges(recorded, kv.Era(era), known) {
+		merged := *known
+		merged.Hosts = recorded.Hosts
+		recorded = &merged
+	}
+	leaders := c.recentLeaders()
+	c.Log.WithField("service", service).WithField("leaders", leaders).
+		Warning("ownership table is of an earlier era; its keys are granted once earlier grants have expired")
+	return ownership.NewAssignerFromRestoredTable(c.Ownership, recorded, era, leaders, now)
+}
--- a/internal/controller/source.go
+++ b/internal/controller/source.go
@@ -5,7 +5,6 @@
 	"maps"
 	"time"
 
-	"github.com/sapphireplank/sapphireplank/internal/election"
 	"github.com/sapphireplank/sapphireplank/internal/kv"
 	"github.com/sapphireplank/sapphireplank/internal/mirror"
 	"github.com/sapphireplank/sapphireplank/internal/relay"
@@ -53,7 +52,7 @@
 	now := c.Clock()
 	c.connectToLeader(ctx, now)
 	relayed := c.source.complete && now-c.source.lastFresh < relayTimeout
-	leading := c.election.State() == election.StateLeading
+	leading := c.election.Acting()
 	if c.source.stopMirror != nil && relayed && !leading {
 		c.source.stopMirror()
 		c.source.stopMirror = nil
@@ -130,6 +129,13 @@
 		return
 	}
 	now := c.Clock()
+	c.applyLoads(message)
+	if len(message.Quotas) > 0 {
+		c.DataPlane.SetQuotas(relay.DecodeQuotaGrants(message.Quotas, now))
+	}
+	if !c.sameHistory(message) {
+		return
+	}
 	switch {
 	case message.Fresh:
 		c.source.lastFresh = now
@@ -143,16 +149,13 @@
 	if message.ReportMs > 0 {
 		c.reportInterval.Store(int64(time.Duration(message.ReportMs) * time.Millisecond))
 	}
-	c.applyLoads(message)
-	if len(message.Quotas) > 0 {
-		c.DataPlane.SetQuotas(relay.DecodeQuotaGrants(message.Quotas, now))
-	}
 	if len(message.Works) > 0 {
 		c.DataPlane.SetRunTimes(relay.DecodeRunTimes(message.Works))
 	}
-	update := mirror.Update{Full: message.Full, AsOf: kv.Revision(message.AsOf)}
+	era := kv.Era(message.Era)
+	update := mirror.Update{Full: message.Full, AsOf: kv.Revision{Era: era, Number: message.AsOf}}
 	for _, item := range message.Items {
-		event := relay.DecodeEvent(item)
+		event := relay.DecodeEvent(item, era)
 		if message.Full {
 			update.Items = append(update.Items, event.Item)
 			continue
@@ -170,7 +173,23 @@
 	}
 	c.applyUpdate(update)
 	for _, delta := range message.Tables {
-		c.applyTableDelta(delta)
+		c.applyTableDelta(delta, era)
+	}
+}
+
+// sameHistory reports whether the store contents in a message can be applied to what this gateway knows. It and the
+// elected gateway may know different eras of the store for a while.
+func (c *Controller) sameHistory(message *wire.RelayDown) bool {
+	switch era := kv.Era(message.Era); {
+	case era < c.asOf.Era:
+		c.source.complete = false
+		return false
+	case era > c.asOf.Era && !message.Full:
+		// This gateway follows the store itself until the elected one has sent everything.
+		c.source.complete = false
+		return c.asOf.IsZero()
+	default:
+		return true
 	}
 }
 
@@ -200,13 +219,14 @@
 
 // applyTableDelta applies a change to an ownership table. If earlier changes were missed, it closes the connection, so
 // that the elected gateway sends everything again after the reconnect.
-func (c *Controller) applyTableDelta(delta *wire.OwnershipDelta) {
+func (c *Controller) applyTableDelta(delta *wire.OwnershipDelta, era kv.Era) {
 	key := tableKeyPrefix + delta.Service
 	item, table := c.items[key], c.tables[delta.Service]
-	if kv.Revision(delta.Revision) <= item.Revision {
+	base, revision := kv.Revision{Era: era, Number: delta.Base}, kv.Revision{Era: era, Number: delta.Revision}
+	if !item.Revision.Before(revision) {
 		return
 	}
-	if table == nil || kv.Revision(delta.Base) != item.Revision {
+	if table == nil || base != item.Revision {
 		c.Log.WithField("service", delta.Service).Info("missed a change of an ownership table; reconnecting to receive it in full")
 		c.source.stopRelay()
 		return
@@ -219,7 +239,7 @@
 	}
 	// withValue encodes the value if this gateway is elected and forwards the table. Its assigner does not start from
 	// this copy but from the table in the store, which also lists the former holders.
-	c.items[key] = kv.Item{Key: key, Revision: kv.Revision(delta.Revision), Created: item.Created}
+	c.items[key] = kv.Item{Key: key, Revision: revision, Created: item.Created}
 	c.tables[delta.Service] = patched
 	c.dirty = true
 }
--- a/internal/controller/updates.go
+++ b/internal/controller/updates.go
@@ -33,14 +33,17 @@
 
 // applyListing replaces the state with a complete listing of the store.
 func (c *Controller) applyListing(update mirror.Update) {
-	if update.AsOf < c.asOf {
+	if update.AsOf.Before(c.asOf) {
 		c.Log.WithField("revision", update.AsOf).WithField("known", c.asOf).Info("listing of the store is older than what is known; ignored")
 		return
 	}
+	restored := !c.asOf.IsZero() && c.asOf.Era != update.AsOf.Era
+	c.observeEra(update.AsOf.Era)
 	c.asOf = update.AsOf
 	c.broadcasts.fullUpdate = nil
 	c.dirty = true
 	c.items = make(map[string]kv.Item, len(update.Items))
+	knownTables := c.tables
 	c.tables = make(map[string]*ownership.Table)
 	var servers []directory.Server
 	for _, item := range update.Items {
@@ -52,10 +55,11 @@
 		}
 		c.applyItem(item)
 	}
+	c.keepNewerTables(knownTables, restored)
 	c.directory.Replace(c.Clock(), c.completeAt, servers)
 	c.serversVersion++
 	c.observeLeader(update.AsOf, c.items[election.Key])
-	if c.election.State() == election.StateLeading {
+	if c.election.Acting() {
 		// The other gateways may have missed changes as well; they receive everything when they reconnect.
 		c.server.CloseAll()
 	}
@@ -66,7 +70,7 @@
 	var newEvents []kv.Event
 	defer func() { c.logIgnoredEvents(len(update.Events)-len(newEvents), update.AsOf) }()
 	for _, event := range update.Events {
-		if event.Revision <= c.asOf || event.Revision <= c.items[event.Key].Revision {
+		if !c.asOf.Before(event.Revision) || !c.items[event.Key].Revision.Before(event.Revision) {
 			continue
 		}
 		newEvents = append(newEvents, event)
@@ -78,7 +82,7 @@
 		}
 		c.applyEvent(event)
 	}
-	c.asOf = max(c.asOf, update.AsOf)
+	c.asOf = c.asOf.Latest(update.AsOf)
 	c.relayEvents(newEvents, update.AsOf)
 }
 
@@ -169,6 +173,9 @@
 			c.Log.WithError(err).WithField("service", service).Warning("ignoring invalid ownership table")
 			return
 		}
+		if known := c.tables[service]; lacksChanges(table, item.Revision.Era, known) {
+			return
+		}
 		c.tables[service] = table
 	}
 }
@@ -197,9 +204,10 @@
 
 // observeLeader passes the record of the elected gateway to the election.
 func (c *Controller) observeLeader(at kv.Revision, item kv.Item) {
-	before := c.election.State()
+	wasActing := c.election.Acting()
+	c.rememberLeader()
 	if err := c.election.Observe(boottime.Now(), at, item.Created, item.Value); err != nil {
 		c.Log.WithError(err).Warning("election")
 	}
-	c.electionChanged(before)
+	c.electionChanged(wasActing)
 }
--- a/internal/controller/updates_test.go
+++ b/internal/controller/updates_test.go
@@ -44,7 +44,7 @@
 	newController := func() *Controller {
 		now = time.Second
 		c := New(Options{Entries: testEntryDecoder{}, Clock: func() time.Duration { return now }, Log: logging.Discard().Component("control")})
-		c.applyStoreUpdate(mirror.Update{AsOf: 1})
+		c.applyStoreUpdate(mirror.Update{AsOf: at(1)})
 		return c
 	}
 	check := func(c *Controller, want time.Duration) {
@@ -55,12 +55,12 @@
 	}
 	c := newController()
 	now = 3 * time.Second
-	c.applyStoreUpdate(mirror.Update{AsOf: 2, Events: []kv.Event{event(2)}})
+	c.applyStoreUpdate(mirror.Update{AsOf: at(2), Events: []kv.Event{event(at(2))}})
 	check(c, time.Second)
 
 	c = newController()
 	c.source.complete = true
 	now = 3 * time.Second
-	c.handleRelayMessage(0, &wire.RelayDown{AsOf: 2, LagMs: 500, Items: []*wire.RelayItem{relay.EncodeEvent(event(2))}})
+	c.handleRelayMessage(0, &wire.RelayDown{AsOf: 2, LagMs: 500, Items: []*wire.RelayItem{relay.EncodeEvent(event(at(2)))}})
 	check(c, 2500*time.Millisecond)
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -1,18 +1,38 @@
 package directory
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// removalGrace is how long after a store outage an entry is kept although it was removed from the store. Running
 	// servers register again within this time; a server that is still missing afterwards has stopped.
 	removalGrace = 2100 * time.Millisecond
+	// removedRetention is how long a removed incarnation is remembered. It exceeds the age of the copies from which the
+	// store comes back.
+	removedRetention = 2 * time.Minute
+	// restoredGrace is how long after a restore outdated entries are expected. They expire, because nobody renews them.
+	restoredGrace = 10 * time.Second
 )
 
 // Directory is the set of registered backend servers. All times are monotonic times since the start of the process.
 type Directory struct {
 	entries map[string]*entry
+	// removed are the incarnations that were removed, for removedRetention. The copy from which the store comes back may
+	// still contain them.
+	removed map[Incarnation]removal
 	// lastStoreOutage is the time of the last failed store call. It is negative before the first failure.
 	lastStoreOutage time.Duration
+	// restoredUntil is the time until which the store may still contain entries of an earlier copy that are outdated.
+	restoredUntil time.Duration
+}
+
+// removal is the removal of an incarnation.
+type removal struct {
+	at time.Duration
+	// sequence is that of the last known entry.
+	sequence uint64
 }
 
 // entry is one server with the end of its warm-up and, if its removal is pending, the time of the removal.
@@ -38,12 +58,18 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{entries: make(map[string]*entry), lastStoreOutage: -removalGrace}
+	return &Directory{entries: make(map[string]*entry), removed: make(map[Incarnation]removal), lastStoreOutage: -removalGrace}
 }
 
 // RecordStoreOutage records that a store call failed.
 func (d *Directory) RecordStoreOutage(now time.Duration) { d.lastStoreOutage = now }
 
+// RecordRestore records that the store came back from an earlier copy.
+func (d *Directory) RecordRestore(now time.Duration) {
+	d.RecordStoreOutage(now)
+	d.restoredUntil = now + restoredGrace
+}
+
 // Put adds or replaces the entry of a server. The change was made since a point in time at which the directory was known
 // to be complete; it may have been learned late.
 func (d *Directory) Put(now, since time.Duration, server Server) {
@@ -62,19 +88,38 @@
 		return
 	}
 	if now-d.lastStoreOutage >= removalGrace {
-		delete(d.entries, id)
+		d.delete(now, id, e)
 		return
 	}
 	e.removalPending = true
 	e.removeAt = d.lastStoreOutage + removalGrace
 }
 
+// delete removes an entry and remembers its incarnation.
+func (d *Directory) delete(now time.Duration, id string, e *entry) {
+	delete(d.entries, id)
+	d.removed[e.server.Incarnation()] = removal{at: now, sequence: e.server.Sequence}
+}
+
+// isOutdated reports whether the entry of a server in a restored store is older than what is known of its incarnation.
+func (d *Directory) isOutdated(server Server) bool {
+	if e, ok := d.entries[server.ID]; ok && e.server.Incarnation() == server.Incarnation() {
+		return server.Sequence < e.server.Sequence
+	}
+	removed, ok := d.removed[server.Incarnation()]
+	return ok && server.Sequence <= removed.sequence
+}
+
 // Replace sets the contents of the directory to a complete listing of the store. Like those of Put, the changes were made
-// since a point in time.
+// since a point in time. After a restore, entries that are older than the known ones are ignored: a server that has left does
+// not write its entry again.
 func (d *Directory) Replace(now, since time.Duration, servers []Server) {
 	listed := make(map[string]bool, len(servers))
 	for _, server := range servers {
 		listed[server.ID] = true
+		if now < d.restoredUntil && d.isOutdated(server) {
+			continue
+		}
 		if e, ok := d.entries[server.ID]; ok && e.server.Incarnation() == server.Incarnation() {
 			wasDraining := e.server.Draining
 			e.server, e.removalPending = server, false
@@ -97,10 +142,11 @@
 	changed := false
 	for id, e := range d.entries {
 		if e.removalPending && now >= e.removeAt {
-			delete(d.entries, id)
+			d.delete(now, id, e)
 			changed = true
 		}
 	}
+	maps.DeleteFunc(d.removed, func(_ Incarnation, r removal) bool { return now-r.at > removedRetention })
 	return changed
 }
 
--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -9,7 +9,9 @@
 	ID string
 	// StartedAtMs is the start time, which distinguishes the incarnations of one ID.
 	StartedAtMs int64
-	Service     string
+	// Sequence rises whenever an incarnation changes its entry.
+	Sequence uint64
+	Service  string
 	// Addr is the IP address and port.
 	Addr  string
 	Zone  string
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,12 +24,17 @@
 	StateFollowing   = "following"
 	StateCampaigning = "campaigning"
 	StateLeading     = "leading"
+	// StateReclaiming is that of a leader whose record may be lost, because the store came back from an earlier copy. It
+	// goes on with what it had begun, but begins nothing new, until it finds its record or writes it again.
+	StateReclaiming = "reclaiming"
 )
 
 const (
 	eventCampaign = "campaign"
 	eventWin      = "win"
 	eventLose     = "lose"
+	eventRestored = "restored"
+	eventReclaim  = "reclaim"
 )
 
 // Settings holds the timing parameters of an election.
@@ -42,6 +49,9 @@
 	// CampaignDelay is how long the leader record must be missing before this process campaigns. Different delays keep the
 	// processes from campaigning all at once.
 	CampaignDelay time.Duration
+	// ReclaimGrace is how long after the store was restored other processes leave it to the leader of before to reclaim its
+	// record.
+	ReclaimGrace time.Duration
 }
 
 // Leader is the record that the elected process stores about itself.
@@ -49,6 +59,8 @@
 	Host string `json:"host"`
 	// Addr is the address on which the leader accepts messages from other processes.
 	Addr string `json:"addr"`
+	// ID identifies the election. Revisions and leases do not, because they are given out again by a restored store.
+	ID string `json:"id"`
 }
 
 // CallKind is the kind of a store call.
@@ -62,6 +74,8 @@
 	CallRenew
 	// CallWithdraw removes the leader record of an earlier process on this host, if its revision is still Revision.
 	CallWithdraw
+	// CallReclaim finds the leader record of this process in a restored store, or writes it again under a new lease.
+	CallReclaim
 )
 
 // Call is a store call for the caller to execute.
@@ -71,9 +85,13 @@
 	Value []byte
 	// Revision is the revision of the record to withdraw.
 	Revision kv.Revision
+	// ID identifies the election to reclaim. Ended are the IDs of elections before it, whose records a restored store may
+	// contain again.
+	ID    string
+	Ended []string
 }
 
-// CampaignResult is the result of a successful campaign.
+// CampaignResult is the result of a successful campaign, or of a record that was reclaimed.
 type CampaignResult struct {
 	Term  kv.Revision
 	Lease kv.LeaseID
@@ -85,9 +103,18 @@
 	settings Settings
 	self     Leader
 	machine  *fsm.FSM
-	// leader is the last observed leader record; leaderRevision is its creation revision, or 0 if there is no leader.
+	// leader is the last observed leader record; leaderRevision is its creation revision, or zero if there is no leader.
 	leader         Leader
 	leaderRevision kv.Revision
+	// era is the latest era of the store, if eraKnown is set. seen are the IDs of the elections that were observed, the latest last;
+	// ended are those of them that ended in an earlier era.
+	era         kv.Era
+	eraKnown    bool
+	seen, ended []string
+	// campaignAfter is the end of the ReclaimGrace after the latest restore.
+	campaignAfter time.Duration
+	// campaigns counts the campaigns of this process.
+	campaigns int
 	// absentSince is when the leader record was first seen missing. observed is false until the store has been read
 	// once.
 	absentSince time.Duration
@@ -98,11 +125,12 @@
 	callInFlight bool
 	nextRenewal  time.Duration
 	confirmedAt  time.Duration
-	// nextWithdrawal is the earliest time of the next attempt to withdraw a record.
+	// nextWithdrawal and nextReclaim are the earliest times of the next attempt to withdraw or reclaim a record.
 	nextWithdrawal time.Duration
+	nextReclaim    time.Duration
 }
 
-// New returns an election in the following state.
+// New returns an election in the following state. self.ID is a prefix of the IDs of this process's elections.
 func New(settings Settings, self Leader) *Election {
 	return &Election{
 		settings: settings,
@@ -110,7 +138,9 @@
 		machine: fsm.NewFSM(StateFollowing, fsm.Events{
 			{Name: eventCampaign, Src: []string{StateFollowing}, Dst: StateCampaigning},
 			{Name: eventWin, Src: []string{StateCampaigning}, Dst: StateLeading},
-			{Name: eventLose, Src: []string{StateCampaigning, StateLeading}, Dst: StateFollowing},
+			{Name: eventRestored, Src: []string{StateLeading, StateReclaiming}, Dst: StateReclaiming},
+			{Name: eventReclaim, Src: []string{StateReclaiming}, Dst: StateLeading},
+			{Name: eventLose, Src: []string{StateCampaigning, StateLeading, StateReclaiming}, Dst: StateFollowing},
 		}, fsm.Callbacks{}),
 	}
 }
@@ -118,6 +148,9 @@
 // State returns the current state, one of the State constants.
 func (e *Election) State() string { return e.machine.Current() }
 
+// Acting reports whether this process acts as the leader, with a record in the store or while it reclaims one.
+func (e *Election) Acting() bool { return e.State() == StateLeading || e.State() == StateReclaiming }
+
 // Term returns the store revision at which this process was last elected.
 func (e *Election) Term() kv.Revision { return e.term }
 
@@ -125,25 +158,31 @@
 func (e *Election) Lease() kv.LeaseID { return e.lease }
 
 // Leader returns the current leader record and whether there is one.
-func (e *Election) Leader() (Leader, bool) { return e.leader, e.leaderRevision > 0 }
+func (e *Election) Leader() (Leader, bool) { return e.leader, !e.leaderRevision.IsZero() }
 
 // Observe processes the leader record as read at a store revision. created is the revision at which the record was
-// created, or 0 if there is no record.
+// created, or zero if there is no record.
 func (e *Election) Observe(now time.Duration, revision, created kv.Revision, value []byte) error {
-	if e.State() == StateLeading && revision <= e.term {
-		// The local copy of the store has not caught up with the revision of this election yet.
+	if revision.Era < e.era || e.State() == StateLeading && !e.term.Before(revision) {
+		// The local copy of the store has not caught up with the era or the revision of this election yet.
 		return nil
 	}
 	var leader Leader
-	if created > 0 {
-		if err := json.Unmarshal(value, &leader); err != nil {
-			return errors.Wrap(err, "decode leader record; waiting for its lease to expire")
+	if !created.IsZero() {
+		var err error
+		if leader, err = DecodeLeader(value); err != nil {
+			return err
 		}
 	}
-	if created == 0 && (e.leaderRevision > 0 || !e.observed) {
+	if e.State() == StateReclaiming {
+		e.observeReclaiming(leader, created)
+		return nil
+	}
+	if created.IsZero() && (!e.leaderRevision.IsZero() || !e.observed) {
 		e.absentSince = now
 	}
 	e.observed = true
+	e.remember(leader.ID)
 	e.leader, e.leaderRevision = leader, created
 	if e.State() == StateLeading && created != e.term {
 		// The lease has expired, even if this process went on renewing it.
@@ -152,6 +191,70 @@
 	return nil
 }
 
+// observeReclaiming gives up the role if another process was elected since the store was restored.
+func (e *Election) observeReclaiming(leader Leader, created kv.Revision) {
+	if created.IsZero() || leader.ID == e.ownID() || slices.Contains(e.ended, leader.ID) {
+		return
+	}
+	e.transition(eventLose)
+	e.leader, e.leaderRevision = leader, created
+	e.remember(leader.ID)
+}
+
+// maxSeen bounds the IDs of observed elections. A store that is restored goes back by seconds, in which there are few.
+const maxSeen = 64
+
+// remember adds the ID of an election to those that were observed.
+func (e *Election) remember(id string) {
+	if id == "" || slices.Contains(e.seen, id) {
+		return
+	}
+	e.seen = append(e.seen, id)
+	if len(e.seen) > maxSeen {
+		e.seen = slices.Delete(e.seen, 0, 1)
+	}
+}
+
+// ObserveEra processes the era of the store. It reports whether the store came back from an earlier copy since the last
+// call.
+func (e *Election) ObserveEra(now time.Duration, era kv.Era) bool {
+	if e.eraKnown && era <= e.era {
+		return false
+	}
+	restored := e.eraKnown
+	e.era, e.eraKnown = era, true
+	if !restored {
+		return false
+	}
+	e.campaignAfter = now + e.settings.ReclaimGrace
+	own := e.ownID()
+	e.ended = slices.DeleteFunc(slices.Clone(e.seen), func(id string) bool { return id == own })
+	if e.Acting() {
+		e.transition(eventRestored)
+	}
+	return true
+}
+
+// Era returns the latest known era of the store.
+func (e *Election) Era() kv.Era { return e.era }
+
+// DecodeLeader decodes a leader record.
+func DecodeLeader(value []byte) (Leader, error) {
+	var leader Leader
+	err := json.Unmarshal(value, &leader)
+	return leader, errors.Wrap(err, "decode leader record; waiting for its lease to expire")
+}
+
+// ownID returns the ID of the latest election of this process.
+func (e *Election) ownID() string { return fmt.Sprintf("%s-%d", e.self.ID, e.campaigns) }
+
+// record returns the leader record of the latest election of this process.
+func (e *Election) record() Leader {
+	record := e.self
+	record.ID = e.ownID()
+	return record
+}
+
 // NextCall returns the store call that is due, if any.
 func (e *Election) NextCall(now time.Duration) (Call, bool) {
 	switch e.State() {
@@ -159,23 +262,25 @@
 		if call, due := e.withdrawal(now); due {
 			return call, true
 		}
-		if !e.observed || e.leaderRevision > 0 || e.callInFlight || now-e.absentSince < e.settings.CampaignDelay {
+		if !e.observed || !e.leaderRevision.IsZero() || e.callInFlight || now < e.campaignAfter ||
+			now-e.absentSince < e.settings.CampaignDelay {
 			return Call{}, false
 		}
 		e.transition(eventCampaign)
-		e.callInFlight = true
-		value, err := json.Marshal(e.self)
-		if err != nil {
+		e.campaigns++
+		return e.callWithRecord(Call{Kind: CallCampaign})
+	case StateLeading, StateReclaiming:
+		if now-e.confirmedAt > e.settings.TTL+e.settings.OutageGrace {
 			e.transition(eventLose)
 			return Call{}, false
 		}
-		return Call{Kind: CallCampaign, Value: value}, true
-	case StateLeading:
-		if now-e.confirmedAt > e.settings.TTL+e.settings.OutageGrace {
-			e.transition(eventLose)
+		if e.callInFlight {
 			return Call{}, false
 		}
-		if e.callInFlight || now < e.nextRenewal {
+		if e.State() == StateReclaiming {
+			return e.reclaim(now)
+		}
+		if now < e.nextRenewal {
 			return Call{}, false
 		}
 		e.callInFlight = true
@@ -185,13 +290,37 @@
 	return Call{}, false
 }
 
+// callWithRecord completes a call that may write the leader record of this process.
+func (e *Election) callWithRecord(call Call) (Call, bool) {
+	value, err := json.Marshal(e.record())
+	if err != nil {
+		e.transition(eventLose)
+		return Call{}, false
+	}
+	e.callInFlight = true
+	call.Value = value
+	return call, true
+}
+
+// reclaimRetryDelay is the delay after a failed attempt to reclaim a record.
+const reclaimRetryDelay = 150 * time.Millisecond
+
+// reclaim returns the call that finds or restores the record of this process, if it is due.
+func (e *Election) reclaim(now time.Duration) (Call, bool) {
+	if now < e.nextReclaim {
+		return Call{}, false
+	}
+	e.nextReclaim = now + reclaimRetryDelay
+	return e.callWithRecord(Call{Kind: CallReclaim, Lease: e.lease, ID: e.ownID(), Ended: e.ended})
+}
+
 // withdrawRetryDelay is the delay after a failed attempt to withdraw a record.
 const withdrawRetryDelay = 300 * time.Millisecond
 
 // withdrawal returns the call that removes the record of an earlier process on this host, if there is one. That process
 // has ended, or this one has given up its role, so nobody acts under the record.
 func (e *Election) withdrawal(now time.Duration) (Call, bool) {
-	if e.leaderRevision == 0 || e.leader.Host != e.self.Host || e.callInFlight || now < e.nextWithdrawal {
+	if e.leaderRevision.IsZero() || e.leader.Host != e.self.Host || e.callInFlight || now < e.nextWithdrawal {
 		return Call{}, false
 	}
 	e.callInFlight = true
@@ -208,22 +337,44 @@
 	if e.State() != StateCampaigning {
 		return
 	}
-	if err != nil {
+	if err != nil || won.Term.Era < e.era {
 		e.transition(eventLose)
 		e.absentSince = now
 		return
 	}
+	e.lead(won, started, now, eventWin)
+}
+
+// lead begins or resumes the role with a record in the store.
+func (e *Election) lead(won CampaignResult, started, now time.Duration, event string) {
+	e.era, e.eraKnown = max(e.era, won.Term.Era), true
 	e.term, e.lease = won.Term, won.Lease
-	e.leaderRevision, e.leader = won.Term, e.self
+	e.leaderRevision, e.leader = won.Term, e.record()
 	e.confirmedAt = started
 	e.nextRenewal = now + e.settings.RenewInterval
-	e.transition(eventWin)
+	e.transition(event)
+}
+
+// ReclaimDone processes the result of a reclaim call. started is when the call was issued. kv.ErrConflict means that
+// another process was elected since the store was restored.
+func (e *Election) ReclaimDone(won CampaignResult, err error, started, now time.Duration) {
+	e.callInFlight = false
+	if e.State() != StateReclaiming {
+		return
+	}
+	switch {
+	case err == nil && won.Term.Era >= e.era:
+		e.lead(won, started, now, eventReclaim)
+	case errors.Is(err, kv.ErrConflict):
+		e.transition(eventLose)
+	}
 }
 
-// RenewalDone processes the result of a renewal call. started is when the call was issued.
-func (e *Election) RenewalDone(err error, started time.Duration) {
+// RenewalDone processes the result of a renewal call, which was executed in an era. started is when the call was issued.
+func (e *Election) RenewalDone(era kv.Era, err error, started time.Duration) {
 	e.callInFlight = false
-	if e.State() != StateLeading {
+	if e.State() != StateLeading || era != e.term.Era && err == nil {
+		// A lease that was renewed in another era says nothing about the record.
 		return
 	}
 	switch {
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -12,18 +12,24 @@
 	CampaignDelay: 50 * time.Millisecond,
 }
 
+// testEra is the era of the store at the start of a test.
+const testEra = 1
+
+// at returns a revision of testEra.
+func at(number int64) kv.Revision { return kv.Revision{Era: testEra, Number: number} }
+
 // newLeader returns an election that was won at revision 10, one second after the start.
 func newLeader(t *testing.T) *Election {
 	t.Helper()
 	e := New(testSettings, Leader{Host: "a"})
-	if err := e.Observe(0, 5, 0, nil); err != nil {
+	if err := e.Observe(0, at(5), kv.Revision{}, nil); err != nil {
 		t.Fatal(err)
 	}
 	call, due := e.NextCall(time.Second)
 	if !due || call.Kind != CallCampaign {
 		t.Fatalf("call %+v, due %v", call, due)
 	}
-	e.CampaignDone(CampaignResult{Term: 10, Lease: 7}, nil, time.Second, time.Second)
+	e.CampaignDone(CampaignResult{Term: at(10), Lease: 7}, nil, time.Second, time.Second)
 	if e.State() != StateLeading {
 		t.Fatalf("state %s", e.State())
 	}
@@ -40,11 +46,11 @@
 		leads  bool
 	}{
 		{"nothing", func(*Election) {}, true},
-		{"stale observation from before the election", func(e *Election) { _ = e.Observe(2*time.Second, 9, 0, nil) }, true},
-		{"record deleted", func(e *Election) { _ = e.Observe(2*time.Second, 11, 0, nil) }, false},
-		{"another leader elected", func(e *Election) { _ = e.Observe(2*time.Second, 12, 12, []byte(`{"host":"b"}`)) }, false},
-		{"lease expired", func(e *Election) { e.RenewalDone(kv.ErrLeaseNotFound, 2*time.Second) }, false},
-		{"renewal with unknown outcome", func(e *Election) { e.RenewalDone(kv.ErrOutcomeUnknown, 2*time.Second) }, true},
+		{"stale observation from before the election", func(e *Election) { _ = e.Observe(2*time.Second, at(9), kv.Revision{}, nil) }, true},
+		{"record deleted", func(e *Election) { _ = e.Observe(2*time.Second, at(11), kv.Revision{}, nil) }, false},
+		{"another leader elected", func(e *Election) { _ = e.Observe(2*time.Second, at(12), at(12), []byte(`{"host":"b"}`)) }, false},
+		{"lease expired", func(e *Election) { e.RenewalDone(testEra, kv.ErrLeaseNotFound, 2*time.Second) }, false},
+		{"renewal with unknown outcome", func(e *Election) { e.RenewalDone(testEra, kv.ErrOutcomeUnknown, 2*time.Second) }, true},
 		{"store unreachable within the limit", func(e *Election) { e.NextCall(14 * time.Second) }, true},
 		{"store unreachable beyond the limit", func(e *Election) { e.NextCall(16 * time.Second) }, false},
 	}
@@ -69,7 +75,7 @@
 		t.Error("lease still confirmed after its TTL")
 	}
 	e.NextCall(3100 * time.Millisecond)
-	e.RenewalDone(nil, 3100*time.Millisecond)
+	e.RenewalDone(testEra, nil, 3100*time.Millisecond)
 	if !e.LeaseConfirmed(4 * time.Second) {
 		t.Error("lease not confirmed after a renewal")
 	}
@@ -82,13 +88,13 @@
 	if _, due := e.NextCall(time.Minute); due {
 		t.Error("campaigned before the store was read")
 	}
-	if err := e.Observe(time.Minute, 5, 3, []byte(`{"host":"b"}`)); err != nil {
+	if err := e.Observe(time.Minute, at(5), at(3), []byte(`{"host":"b"}`)); err != nil {
 		t.Fatal(err)
 	}
 	if _, due := e.NextCall(2 * time.Minute); due {
 		t.Error("campaigned while there was a leader")
 	}
-	if err := e.Observe(3*time.Minute, 6, 0, nil); err != nil {
+	if err := e.Observe(3*time.Minute, at(6), kv.Revision{}, nil); err != nil {
 		t.Fatal(err)
 	}
 	if _, due := e.NextCall(3*time.Minute + testSettings.CampaignDelay/2); due {
@@ -108,17 +114,17 @@
 func TestWithdrawsRecordOfOwnHost(t *testing.T) {
 	withdraws := func(e *Election, now time.Duration) bool {
 		call, due := e.NextCall(now)
-		return due && call.Kind == CallWithdraw && call.Revision == 7
+		return due && call.Kind == CallWithdraw && call.Revision == at(7)
 	}
 	e := New(testSettings, Leader{Host: "a"})
-	if err := e.Observe(time.Second, 9, 7, []byte(`{"host":"b"}`)); err != nil {
+	if err := e.Observe(time.Second, at(9), at(7), []byte(`{"host":"b"}`)); err != nil {
 		t.Fatal(err)
 	}
 	if withdraws(e, time.Minute) {
 		t.Error("withdrew the record of another host")
 	}
 	e = New(testSettings, Leader{Host: "a"})
-	if err := e.Observe(time.Second, 9, 7, []byte(`{"host":"a"}`)); err != nil {
+	if err := e.Observe(time.Second, at(9), at(7), []byte(`{"host":"a"}`)); err != nil {
 		t.Fatal(err)
 	}
 	if !withdraws(e, time.Second) {
@@ -139,6 +145,6 @@
 		if call, due := leader.NextCall(now); due && call.Kind == CallWithdraw {
 			t.Fatal("withdrew its own record while elected")
 		}
-		leader.RenewalDone(nil, now)
+		leader.RenewalDone(testEra, nil, now)
 	}
 }
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -257,6 +257,7 @@
 		RenewInterval: leaseRenewInterval,
 		OutageGrace:   storeOutageTolerance,
 		CampaignDelay: campaignDelay(s),
+		ReclaimGrace:  reclaimGrace,
 	}
 }
 
@@ -280,6 +281,9 @@
 	// leaseRenewInterval is the time between two renewals of the elected gateway's lease. The other gateways rely on
 	// the elected one only while it reaches the store.
 	leaseRenewInterval = 300 * time.Millisecond
+	// reclaimGrace is how long after the store came back from an earlier copy the elected gateway has to write its record
+	// again. It exceeds the time in which a renewal fails or succeeds.
+	reclaimGrace = 1500 * time.Millisecond
 	// storeOutageTolerance is how long the elected gateway keeps renewing grants while the store is unreachable.
 	storeOutageTolerance = 12 * time.Second
 )
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -10,9 +10,6 @@
 	"time"
 )
 
-// Revision is the position of a change in the total order of changes of the store. 0 precedes the first change.
-type Revision int64
-
 // LeaseID identifies a lease. 0 means no lease.
 type LeaseID int64
 
@@ -50,7 +47,8 @@
 	AsOf Revision
 }
 
-// Condition holds if the last change of the key was at Revision. Revision 0 requires that the key does not exist.
+// Condition holds if the last change of the key was at Revision. The zero Revision requires that the key does not exist.
+// A Revision of an earlier era never holds.
 type Condition struct {
 	Key      string
 	Revision Revision
@@ -76,7 +74,7 @@
 	// List returns all items whose key has the prefix.
 	List(ctx context.Context, prefix string) (Listing, error)
 	// Watch waits at most the given time for changes to keys with the prefix after a revision. It returns
-	// ErrCompacted if the history after that revision is no longer available.
+	// ErrCompacted if the history after that revision is no longer available, also because the era has ended.
 	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error)
 	// Commit applies a transaction. It returns ErrConflict if a condition does not hold, and ErrOutcomeUnknown if the
 	// response was lost: the write may then still happen seconds later, if its conditions hold at that time.
@@ -85,8 +83,9 @@
 	Get(ctx context.Context, key string) (Item, error)
 	// GrantLease creates a lease that expires after ttl without renewal.
 	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
-	// RenewLease renews a lease. It returns ErrLeaseNotFound if the lease has expired.
-	RenewLease(ctx context.Context, id LeaseID) error
+	// RenewLease renews a lease and returns the era in which it did. The lease may be part of a copy that lacks the keys
+	// attached to it. It returns ErrLeaseNotFound if the lease has expired.
+	RenewLease(ctx context.Context, id LeaseID) (Era, error)
 	// RevokeLease revokes a lease and deletes the keys attached to it.
 	RevokeLease(ctx context.Context, id LeaseID) error
 }
--- a/internal/kv/kvtest/contract.go
+++ b/internal/kv/kvtest/contract.go
@@ -58,8 +58,8 @@
 	txn.Conditions[0].Revision = first
 	second := commit(t, b, txn)
 	item, err := b.Get(t.Context(), "a")
-	if err != nil || item.Revision != second || item.Created != first || second <= first {
-		t.Fatalf("item %+v, error %v; written at %d and %d", item, err, first, second)
+	if err != nil || item.Revision != second || item.Created != first || !first.Before(second) {
+		t.Fatalf("item %+v, error %v; written at %v and %v", item, err, first, second)
 	}
 	if _, err := b.Get(t.Context(), "b"); !errors.Is(err, kv.ErrNotFound) {
 		t.Fatalf("missing key: %v, want %v", err, kv.ErrNotFound)
@@ -70,7 +70,7 @@
 func testAtomicity(t *testing.T, b StoreUnderTest) {
 	commit(t, b, put("a", "1"))
 	_, err := b.Commit(t.Context(), kv.Txn{
-		Conditions: []kv.Condition{{Key: "missing", Revision: 1}},
+		Conditions: []kv.Condition{{Key: "missing", Revision: kv.Revision{Number: 1}}},
 		Puts:       []kv.Put{{Key: "b", Value: []byte("2")}},
 		Deletes:    []string{"a"},
 	})
@@ -94,7 +94,7 @@
 	if err != nil || len(listing.Items) != count {
 		t.Fatalf("%d items, error %v, want %d", len(listing.Items), err, count)
 	}
-	if listing.AsOf == 0 {
+	if listing.AsOf.IsZero() {
 		t.Fatal("listing has no revision")
 	}
 }
@@ -147,7 +147,7 @@
 	}
 	txn := kv.Txn{Puts: []kv.Put{{Key: "a", Value: []byte("1"), Lease: lease}}}
 	asOf := commit(t, b, txn)
-	if err := b.RenewLease(ctx, lease); err != nil {
+	if _, err := b.RenewLease(ctx, lease); err != nil {
 		t.Fatal(err)
 	}
 	if err := b.RevokeLease(ctx, lease); err != nil {
@@ -157,7 +157,7 @@
 	if err != nil || len(changes.Events) != 1 || !changes.Events[0].Deleted {
 		t.Fatalf("after the end of the lease: %+v, error %v", changes, err)
 	}
-	if err := b.RenewLease(ctx, lease); !errors.Is(err, kv.ErrLeaseNotFound) {
+	if _, err := b.RenewLease(ctx, lease); !errors.Is(err, kv.ErrLeaseNotFound) {
 		t.Fatalf("renewal: %v, want %v", err, kv.ErrLeaseNotFound)
 	}
 	if _, err := b.Commit(ctx, txn); !errors.Is(err, kv.ErrLeaseNotFound) {
--- a/internal/kv/memory.go
+++ b/internal/kv/memory.go
@@ -13,12 +13,12 @@
 type MemoryStore struct {
 	// mu protects the fields below.
 	mu       sync.Mutex
-	era      int
-	revision Revision
+	era      Era
+	revision int64
 	items    map[string]Item
 	history  []Event
 	// compacted is the revision up to which the history was discarded.
-	compacted Revision
+	compacted int64
 	leases    map[LeaseID]*memoryLease
 	nextLease LeaseID
 	// changed is closed by the next change and then replaced.
@@ -50,7 +50,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	listing := Listing{AsOf: m.revision}
+	listing := Listing{AsOf: m.asOf()}
 	for key, item := range m.items {
 		if strings.HasPrefix(key, prefix) {
 			listing.Items = append(listing.Items, item)
@@ -83,12 +83,12 @@
 func (m *MemoryStore) eventsAfter(prefix string, after Revision) (Changes, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if after < m.compacted || after > m.revision {
+	if after.Era != m.era || after.Number < m.compacted || after.Number > m.revision {
 		return Changes{}, nil, ErrCompacted
 	}
-	changes := Changes{AsOf: m.revision}
+	changes := Changes{AsOf: m.asOf()}
 	for _, event := range m.history {
-		if event.Revision > after && strings.HasPrefix(event.Key, prefix) {
+		if after.Before(event.Revision) && strings.HasPrefix(event.Key, prefix) {
 			changes.Events = append(changes.Events, event)
 		}
 	}
@@ -112,18 +112,18 @@
 // Commit implements Store.
 func (m *MemoryStore) Commit(ctx context.Context, txn Txn) (Revision, error) {
 	if err := ctx.Err(); err != nil {
-		return 0, err
+		return Revision{}, err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, condition := range txn.Conditions {
 		if m.items[condition.Key].Revision != condition.Revision {
-			return 0, ErrConflict
+			return Revision{}, ErrConflict
 		}
 	}
 	for _, put := range txn.Puts {
 		if put.Lease != 0 && m.leases[put.Lease] == nil {
-			return 0, ErrLeaseNotFound
+			return Revision{}, ErrLeaseNotFound
 		}
 	}
 	m.revision++
@@ -134,11 +134,14 @@
 		m.remove(key)
 	}
 	m.notifyWatches()
-	return m.revision, nil
+	return m.asOf(), nil
 }
 
+// asOf returns the revision of the latest change. The caller must hold mu.
+func (m *MemoryStore) asOf() Revision { return Revision{Era: m.era, Number: m.revision} }
+
 func (m *MemoryStore) put(put Put) {
-	item := Item{Key: put.Key, Value: slices.Clone(put.Value), Revision: m.revision, Created: m.revision, Lease: put.Lease}
+	item := Item{Key: put.Key, Value: slices.Clone(put.Value), Revision: m.asOf(), Created: m.asOf(), Lease: put.Lease}
 	if previous, ok := m.items[put.Key]; ok {
 		item.Created = previous.Created
 	}
@@ -151,7 +154,7 @@
 		return
 	}
 	delete(m.items, key)
-	m.history = append(m.history, Event{Item: Item{Key: key, Revision: m.revision}, Deleted: true})
+	m.history = append(m.history, Event{Item: Item{Key: key, Revision: m.asOf()}, Deleted: true})
 }
 
 // notifyWatches wakes all waiting watches.
@@ -174,18 +177,18 @@
 }
 
 // RenewLease implements Store.
-func (m *MemoryStore) RenewLease(ctx context.Context, id LeaseID) error {
+func (m *MemoryStore) RenewLease(ctx context.Context, id LeaseID) (Era, error) {
 	if err := ctx.Err(); err != nil {
-		return err
+		return 0, err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	lease := m.leases[id]
 	if lease == nil {
-		return ErrLeaseNotFound
+		return m.era, ErrLeaseNotFound
 	}
 	lease.timer.Reset(lease.ttl)
-	return nil
+	return m.era, nil
 }
 
 // RevokeLease implements Store.
--- a/internal/kv/memory_test.go
+++ b/internal/kv/memory_test.go
@@ -28,12 +28,12 @@
 		}
 		for range 5 {
 			time.Sleep(900 * time.Millisecond)
-			if err := memory.RenewLease(t.Context(), lease); err != nil {
+			if _, err := memory.RenewLease(t.Context(), lease); err != nil {
 				t.Fatal(err)
 			}
 		}
 		time.Sleep(1100 * time.Millisecond)
-		if err := memory.RenewLease(t.Context(), lease); !errors.Is(err, kv.ErrLeaseNotFound) {
+		if _, err := memory.RenewLease(t.Context(), lease); !errors.Is(err, kv.ErrLeaseNotFound) {
 			t.Fatalf("error %v, want %v", err, kv.ErrLeaseNotFound)
 		}
 	})
--- a/internal/kv/memorycopy.go
+++ b/internal/kv/memorycopy.go
@@ -9,11 +9,11 @@
 
 // Copy is a copy of the contents of a MemoryStore at one time.
 type Copy struct {
-	revision Revision
+	revision int64
 	items    map[string]Item
 	history  []Event
 	// compacted is the revision up to which the history was discarded.
-	compacted Revision
+	compacted int64
 	leases    map[LeaseID]time.Duration
 }
 
@@ -39,8 +39,14 @@
 	current := m.items
 	m.era++
 	m.revision, m.items, m.history, m.compacted = c.revision, make(map[string]Item), nil, c.compacted
-	m.history = slices.Clone(c.history)
-	maps.Copy(m.items, c.items)
+	for _, event := range c.history {
+		event.Revision.Era, event.Created.Era = m.era, m.era
+		m.history = append(m.history, event)
+	}
+	for key, item := range c.items {
+		item.Revision.Era, item.Created.Era = m.era, m.era
+		m.items[key] = item
+	}
 	m.restoreLeases(c, current, rewritten)
 	m.rewrite(current, rewritten)
 	m.notifyWatches()
@@ -86,8 +92,8 @@
 	return slices.ContainsFunc(prefixes, func(prefix string) bool { return strings.HasPrefix(key, prefix) })
 }
 
-// Era returns the number of times that the store was restored.
-func (m *MemoryStore) Era() int {
+// Era returns the current era.
+func (m *MemoryStore) Era() Era {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.era
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -25,7 +25,7 @@
 	Full   bool
 	Items  []kv.Item
 	Events []kv.Event
-	// AsOf is the revision up to which the update is complete, or 0 if that is not known.
+	// AsOf is the revision up to which the update is complete. It is zero if that is not known.
 	AsOf kv.Revision
 	// Err is the error of a failed call. All other fields are empty then.
 	Err error
@@ -44,12 +44,13 @@
 	return &Mirror{store: store, watchTimeout: watchTimeout, deliver: deliver}
 }
 
-// Run follows the store from revision asOf until the context is done. It starts with a listing if asOf is 0.
+// Run follows the store from revision asOf until the context is done. It starts with a listing if asOf is zero, and with
+// another one whenever the history after the last known revision is gone.
 func (m *Mirror) Run(ctx context.Context, asOf kv.Revision) {
 	failures := 0
 	for ctx.Err() == nil {
 		var err error
-		if asOf == 0 {
+		if asOf.IsZero() {
 			asOf, err = m.list(ctx)
 		} else {
 			asOf, err = m.watch(ctx, asOf)
@@ -58,7 +59,7 @@
 		case err == nil:
 			failures = 0
 		case errors.Is(err, kv.ErrCompacted):
-			asOf = 0
+			asOf = kv.Revision{}
 		case ctx.Err() == nil:
 			failures++
 			m.deliver(ctx, Update{Err: err})
@@ -71,7 +72,7 @@
 func (m *Mirror) list(ctx context.Context) (kv.Revision, error) {
 	listing, err := m.store.List(ctx, "")
 	if err != nil {
-		return 0, err
+		return kv.Revision{}, err
 	}
 	m.deliver(ctx, Update{Full: true, Items: listing.Items, AsOf: listing.AsOf})
 	return listing.AsOf, nil
@@ -83,7 +84,7 @@
 	if err != nil {
 		return asOf, err
 	}
-	asOf = max(asOf, changes.AsOf)
+	asOf = asOf.Latest(changes.AsOf)
 	m.deliver(ctx, Update{Events: changes.Events, AsOf: asOf})
 	if len(changes.Events) > 0 {
 		sleep(ctx, batchDelay)
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -33,6 +33,7 @@
 	orders          *prometheus.CounterVec
 	movedKeys       prometheus.Counter
 	elected         prometheus.Gauge
+	storeEra        prometheus.Gauge
 	version         prometheus.Gauge
 	servers         prometheus.Gauge
 	suspended       prometheus.Gauge
@@ -58,6 +59,7 @@
 		orders:          newCounterVec("plank_orders_total", "Grants and releases sent to backend servers.", labelKind, labelResult),
 		movedKeys:       newCounter("plank_moved_keys_total", "Keys that this gateway, as the elected one, moved to another backend server."),
 		elected:         newGauge("plank_elected", "1 while this gateway is the elected one."),
+		storeEra:        newGauge("plank_store_era", "Number of the store's history, which rises when the store comes back from an earlier copy."),
 		version:         newGauge("plank_configuration_version", "Version of the configuration in force; 0 if there is none."),
 		servers:         newGauge("plank_backend_servers", "Backend servers that are known."),
 		suspended:       newGauge("plank_suspended_servers", "Backend servers that get no requests after silent or lost ones."),
@@ -69,7 +71,7 @@
 		dropped:         newCounter("plank_log_lines_dropped_total", "Log lines that were dropped because the output was slow or the rate was exceeded."),
 	}
 	m.registry.MustRegister(m.requests, m.durations, m.queueWaits, m.refusals, m.sends, m.retries, m.storeCalls, m.orders,
-		m.movedKeys, m.elected, m.version, m.servers, m.suspended, m.limited, m.limitedSends, m.gateways, m.ownershipRows, m.storeContactAge, m.dropped)
+		m.movedKeys, m.elected, m.storeEra, m.version, m.servers, m.suspended, m.limited, m.limitedSends, m.gateways, m.ownershipRows, m.storeContactAge, m.dropped)
 	return m
 }
 
@@ -141,6 +143,7 @@
 // State is the current state of a gateway as shown in its gauges.
 type State struct {
 	Elected         bool
+	StoreEra        uint64
 	Version         uint64
 	Servers         int
 	Gateways        int
@@ -154,6 +157,7 @@
 	if s.Elected {
 		m.elected.Set(1)
 	}
+	m.storeEra.Set(float64(s.StoreEra))
 	m.version.Set(float64(s.Version))
 	m.servers.Set(float64(s.Servers))
 	m.gateways.Set(float64(s.Gateways))
--- a/internal/observe/store.go
+++ b/internal/observe/store.go
@@ -82,10 +82,10 @@
 }
 
 // RenewLease implements kv.Store.
-func (s *Store) RenewLease(ctx context.Context, id kv.LeaseID) error {
-	err := s.store.RenewLease(ctx, id)
+func (s *Store) RenewLease(ctx context.Context, id kv.LeaseID) (kv.Era, error) {
+	era, err := s.store.RenewLease(ctx, id)
 	s.count("keep-lease", err)
-	return err
+	return era, err
 }
 
 // RevokeLease implements kv.Store.
--- a/internal/ownership/assigner.go
+++ b/internal/ownership/assigner.go
@@ -31,9 +31,9 @@
 
 func incarnationOf(holder Holder) incarnation { return incarnation{holder.ID, holder.StartedAtMs} }
 
-// NewAssigner returns an assigner for a service that has no recorded table yet.
-func NewAssigner(settings Settings) *Assigner {
-	a := newAssigner(settings, 1)
+// NewAssigner returns an assigner for a service that has no recorded table yet, in an era of the store.
+func NewAssigner(settings Settings, era uint64) *Assigner {
+	a := newAssigner(settings, firstToken(era))
 	a.rows = []*rowState{{keys: Keys{First: 0, Last: settings.Keys - 1}}}
 	a.markChanged(a.rows[0])
 	return a
@@ -83,6 +83,10 @@
 // MarkRecorded marks all changes up to a sequence number as written to the store.
 func (a *Assigner) MarkRecorded(sequence uint64) { a.recordedSeq = max(a.recordedSeq, sequence) }
 
+// MarkUnrecorded marks the table as not written to the store, because the store came back from an earlier copy. Orders that
+// were recorded before are not withheld: the next assigner knows that the history was lost.
+func (a *Assigner) MarkUnrecorded() { a.lastSeq++ }
+
 // MarkTerminated records that an incarnation of a backend server has terminated and that no other incarnation of the
 // server receives orders at its address. It no longer holds any keys.
 func (a *Assigner) MarkTerminated(holder Holder) {
--- a/internal/ownership/assigner_test.go
+++ b/internal/ownership/assigner_test.go
@@ -26,7 +26,7 @@
 // assignerOf returns an assigner that has granted all keys to a holder, which has confirmed the grant at time 0.
 func assignerOf(t *testing.T, settings Settings, holder Holder) *Assigner {
 	t.Helper()
-	a := NewAssigner(settings)
+	a := NewAssigner(settings, 0)
 	a.Apply([]Move{{Keys: allKeys, To: holder}}, 0)
 	record(t, a, 0)
 	for _, order := range a.DueOrders(0) {
@@ -54,7 +54,7 @@
 		settings.Host = host
 		return NewAssignerFromTable(settings, table, now)
 	}
-	first := NewAssigner(historySettings)
+	first := NewAssigner(historySettings, 0)
 	first.Apply([]Move{{Keys: allKeys, To: lost}}, 0)
 	table := record(t, first, 0)
 
--- a/internal/ownership/codec.go
+++ b/internal/ownership/codec.go
@@ -34,7 +34,7 @@
 
 // Encode returns the table in its stored form.
 func (t *Table) Encode() ([]byte, error) {
-	message := &wire.OwnershipTable{NextToken: uint64(t.NextToken), Writer: t.Writer}
+	message := &wire.OwnershipTable{NextToken: uint64(t.NextToken), Writer: t.Writer, Era: t.Era}
 	for _, host := range t.Hosts {
 		message.Hosts = append(message.Hosts, host.Name)
 		message.HostGraceMs = append(message.HostGraceMs, ceilMilliseconds(host.Grace))
@@ -70,7 +70,7 @@
 	if err := proto.Unmarshal(value, message); err != nil {
 		return nil, errors.WithSecondaryError(ErrInvalidTable, err)
 	}
-	table := &Table{NextToken: Token(message.NextToken), Writer: message.Writer}
+	table := &Table{NextToken: Token(message.NextToken), Writer: message.Writer, Era: message.Era}
 	hosts, err := decodeHosts(message)
 	if err != nil {
 		return nil, err
--- a/internal/ownership/delta.go
+++ b/internal/ownership/delta.go
@@ -51,7 +51,7 @@
 
 // Patch returns the table that results from applying a delta. It fails unless the result covers the same keys as t.
 func (t *Table) Patch(delta *wire.OwnershipDelta) (*Table, error) {
-	patched := &Table{NextToken: t.NextToken}
+	patched := &Table{NextToken: t.NextToken, Era: t.Era}
 	for _, encoded := range delta.Rows {
 		row := Row{
 			Keys: Keys{First: int(encoded.First), Last: int(encoded.Last)}, Token: Token(encoded.Token), Moving: encoded.Moving,
--- a/internal/ownership/delta_test.go
+++ b/internal/ownership/delta_test.go
@@ -16,7 +16,7 @@
 	random := rand.New(rand.NewPCG(7, 7))
 	settings := historySettings
 	settings.Keys = 64
-	assigner := NewAssigner(settings)
+	assigner := NewAssigner(settings, 0)
 	recorded, _ := assigner.Table(0)
 	replica := &Table{Rows: recorded.Rows}
 	for i := range 300 {
--- a/internal/ownership/dueorders.go
+++ b/internal/ownership/dueorders.go
@@ -64,7 +64,7 @@
 func (a *Assigner) dueReleases(r *rowState, now time.Duration) []Order {
 	var orders []Order
 	for _, g := range r.formerGrants {
-		if g.released || g.inFlight || now < g.nextSend || g.resolved(now) || g.holder.SameIncarnation(r.owner) {
+		if g.holder.IsZero() || g.released || g.inFlight || now < g.nextSend || g.resolved(now) || g.holder.SameIncarnation(r.owner) {
 			continue
 		}
 		if g.unfenced && !a.canFence(r, g, now) {
--- a/internal/ownership/fuzz_test.go
+++ b/internal/ownership/fuzz_test.go
@@ -8,7 +8,7 @@
 // FuzzDecodeTable guards against a stored table that makes the elected gateway panic, or that it does not understand as
 // it writes it.
 func FuzzDecodeTable(f *testing.F) {
-	a := NewAssigner(historySettings)
+	a := NewAssigner(historySettings, 0)
 	a.Apply([]Move{{Keys: Keys{First: 2, Last: 5}, To: Holder{ID: "a", StartedAtMs: 1, Addr: "1"}}}, 0)
 	a.Apply([]Move{{Keys: Keys{First: 2, Last: 5}, To: Holder{ID: "b", Addr: "2"}}}, time.Second)
 	table, _ := a.Table(time.Second)
--- a/internal/ownership/history_test.go
+++ b/internal/ownership/history_test.go
@@ -81,7 +81,7 @@
 	settings := historySettings
 	settings.Host = hostOf(h.term)
 	if h.table == nil {
-		process.assigner = NewAssigner(settings)
+		process.assigner = NewAssigner(settings, 0)
 	} else {
 		process.assigner = NewAssignerFromTable(settings, h.table, h.now)
 	}
--- /dev/null
+++ b/internal/ownership/restored.go
@@ -0,0 +1,42 @@
+package ownership
+
+import "time"
+
+// tokensPerEra is the number of tokens that can be assigned in one era of the store. Tokens of a later era are higher than
+// those that were assigned in a history that is lost.
+const tokensPerEra = 1 << 32
+
+// firstToken returns the lowest token of an era.
+func firstToken(era uint64) Token { return Token(era*tokensPerEra + 1) }
+
+// NewAssignerFromRestoredTable returns an assigner that continues, in an era of the store, from a table of an earlier era.
+// The table may lack the last moves, so any backend server may hold any key until the grants of the earlier assigners have
+// expired. leaders are the hosts of those that may still act; without any, one on an unknown host may.
+func NewAssignerFromRestoredTable(settings Settings, table *Table, era uint64, leaders []string, now time.Duration) *Assigner {
+	restored := *table
+	restored.NextToken = max(table.NextToken, firstToken(era))
+	restored.Writer = ""
+	if len(leaders) == 0 {
+		leaders = []string{""}
+	}
+	for _, leader := range leaders {
+		restored.Hosts = withHost(restored.Hosts, ActiveHost{Name: leader, Grace: settings.PredecessorGrace})
+	}
+	a := NewAssignerFromTable(settings, &restored, now)
+	unknown := a.lastExpiry(now)
+	for _, r := range a.rows {
+		r.formerGrants = append(r.formerGrants, &formerGrant{heldUntil: unknown, unconfirmedUntil: unknown, unfenced: true})
+	}
+	return a
+}
+
+// withHost returns the hosts with another one added or replaced.
+func withHost(hosts []ActiveHost, added ActiveHost) []ActiveHost {
+	result := []ActiveHost{added}
+	for _, host := range hosts {
+		if host.Name != added.Name {
+			result = append(result, host)
+		}
+	}
+	return result
+}
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -49,6 +49,9 @@
 	Hosts []ActiveHost
 	// Writer is the host of the gateway that wrote the table, or empty if it is not known.
 	Writer string
+	// Era is the era of the store in which the table was written. A table that is found in a later era may lack the last
+	// changes.
+	Era uint64
 }
 
 // ActiveHost is the host of a gateway that is or was the elected one.
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -93,28 +93,36 @@
 	return runTimes
 }
 
-// EncodeEvent encodes a change of the store.
+// EncodeEvent encodes a change of the store. The message that contains it states the era.
 func EncodeEvent(event kv.Event) *wire.RelayItem {
 	return &wire.RelayItem{
 		Key:      event.Key,
 		Value:    event.Value,
-		Revision: int64(event.Revision),
-		Created:  int64(event.Created),
+		Revision: event.Revision.Number,
+		Created:  event.Created.Number,
 		Lease:    int64(event.Lease),
 		Deleted:  event.Deleted,
 	}
 }
 
-// DecodeEvent decodes a change of the store.
-func DecodeEvent(item *wire.RelayItem) kv.Event {
+// DecodeEvent decodes a change of the store in an era.
+func DecodeEvent(item *wire.RelayItem, era kv.Era) kv.Event {
 	return kv.Event{
 		Item: kv.Item{
 			Key:      item.Key,
 			Value:    item.Value,
-			Revision: kv.Revision(item.Revision),
-			Created:  kv.Revision(item.Created),
+			Revision: kv.Revision{Era: era, Number: item.Revision},
+			Created:  decodeCreated(item.Created, era),
 			Lease:    kv.LeaseID(item.Lease),
 		},
 		Deleted: item.Deleted,
 	}
 }
+
+// decodeCreated decodes a revision that is zero for a key that does not exist.
+func decodeCreated(number int64, era kv.Era) kv.Revision {
+	if number == 0 {
+		return kv.Revision{}
+	}
+	return kv.Revision{Era: era, Number: number}
+}
