controller, ownership, election: continue from the last table after a restore

A gateway that has followed the store up to its loss knows the last table, and continues from it; others wait, and campaign later. Deltas tell which rows have former holders; a random history found a second owner without that. A record states its era: an elected gateway that cannot have been replaced, because its lease was confirmed or most gateways still follow it, removes records of earlier eras, and one that may have been replaced gives way to any other and loads its tables again.

--- a/internal/controller/assign.go
+++ b/internal/controller/assign.go
@@ -102,6 +102,10 @@
 	now := boottime.Now()
 	log := c.Log.WithFields(logrus.Fields{"service": service, "term": term})
 	switch {
+	case errors.Is(err, kv.ErrNotFound) && c.tables[service] != nil:
+		a.assigner = c.newAssigner(service, c.tables[service], now)
+		c.passPredecessors(a.assigner, now)
+		log.Info("no recorded ownership table; continuing from the known one")
 	case errors.Is(err, kv.ErrNotFound):
 		a.assigner = ownership.NewAssigner(c.Ownership, uint64(term.Era))
 		a.nextPlanAt = now + initialPlanDelay
--- a/internal/controller/restore.go
+++ b/internal/controller/restore.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,9 +23,12 @@
 // observeEra processes the era in which the store answered, and reports whether the store came back from an earlier copy.
 // The known revisions mean nothing any more then: the elected gateway writes again what it knows.
 func (c *Controller) observeEra(era kv.Era) bool {
-	if !c.election.ObserveEra(boottime.Now(), era) {
+	unbroken := c.termIsUnbroken()
+	if !c.election.ObserveEra(boottime.Now(), era, unbroken) {
 		return false
 	}
+	c.termUnbroken = unbroken
+	c.rememberLostHistory()
 	c.Log.WithField("era", era).WithField("known", c.asOf).Warning("store came back from an earlier copy; reading it again")
 	c.directory.RecordRestore(c.Clock())
 	for _, a := range c.assigners {
@@ -38,6 +40,61 @@
 	return true
 }
 
+// termIsUnbroken reports whether this gateway, if it acts as the elected one, cannot have been replaced: its lease was
+// confirmed just now, or most gateways still take it for the elected one. They leave it when they see another one elected.
+func (c *Controller) termIsUnbroken() bool {
+	switch c.election.State() {
+	case election.StateReclaiming:
+		return c.termUnbroken && c.hasMostGateways()
+	case election.StateLeading:
+		return c.election.LeaseConfirmed(boottime.Now()) || c.hasMostGateways()
+	default:
+		return false
+	}
+}
+
+// hasMostGateways reports whether more than half of the gateways, this one included, are connected to this one.
+func (c *Controller) hasMostGateways() bool {
+	return 2*(len(c.server.Hosts())+1) > c.gateways.value(c.Clock())
+}
+
+// maxHistoryGap is the longest time from the last news of the store to its first failure for which a gateway has missed
+// nothing: a watch waits for watchTimeout, and a silent one is given up a little later.
+const maxHistoryGap = watchTimeout + 750*time.Millisecond
+
+// rememberLostHistory determines which of the known tables were the last ones before the store came back from an earlier
+// copy.
+func (c *Controller) rememberLostHistory() {
+	lost := c.Clock()
+	if c.storeFailing {
+		lost = c.storeFailedAt
+	}
+	followed := !c.asOf.IsZero() && lost-c.completeAt <= maxHistoryGap
+	for service, table := range c.tables {
+		c.lastTables[service] = followed && (kv.Era(table.Era) == c.asOf.Era || c.lastTables[service])
+	}
+}
+
+// recordStoreCall records whether a call of the store succeeded.
+func (c *Controller) recordStoreCall(err error) {
+	if err != nil && !c.storeFailing {
+		c.storeFailedAt = c.Clock()
+	}
+	c.storeFailing = err != nil
+}
+
+// yieldCampaign leaves the next election to gateways that know the last tables of a lost history, if this one does not.
+func (c *Controller) yieldCampaign() {
+	for service, table := range c.tables {
+		if kv.Era(table.Era) < c.asOf.Era && !c.lastTables[service] {
+			c.election.DelayCampaign(boottime.Now() + yieldDelay)
+		}
+	}
+}
+
+// yieldDelay is how much later a gateway campaigns that does not know the last tables.
+const yieldDelay = 2500 * time.Millisecond
+
 // restartMirror makes chooseSource start another mirror of the store, whose first watch finds that the history is gone.
 func (c *Controller) restartMirror() {
 	if c.source.stopMirror != nil {
@@ -62,7 +119,7 @@
 		return election.CampaignResult{}, err
 	case leader.ID == call.ID:
 		return election.CampaignResult{Term: item.Created, Lease: item.Lease}, nil
-	case !slices.Contains(call.Ended, leader.ID):
+	case !leader.Ended(c.Host, call.EndedBefore):
 		return election.CampaignResult{}, errors.Wrapf(kv.ErrConflict, "gateway %q was elected", leader.Host)
 	}
 	if err := c.withdraw(ctx, item.Revision); err != nil && !errors.Is(err, kv.ErrConflict) {
@@ -78,16 +135,17 @@
 	if err != nil {
 		c.Log.WithError(err).Info("failed to reclaim the election")
 	} else {
-		c.Log.WithFields(logrus.Fields{"term": result.Term}).Info("reclaimed the election")
+		c.Log.WithFields(logrus.Fields{"term": result.Term, "unbroken": c.termUnbroken}).Info("reclaimed the election")
 		c.reloadAssigners()
 	}
 	c.electionChanged(wasActing)
 }
 
-// reloadAssigners begins again to load the tables that were being loaded, because the term has changed.
+// reloadAssigners begins again to load the tables that were being loaded, because the term has changed. If another gateway
+// may have been elected meanwhile, it loads all tables again.
 func (c *Controller) reloadAssigners() {
 	for service, a := range c.assigners {
-		if a.assigner == nil {
+		if a.assigner == nil || !c.termUnbroken {
 			delete(c.assigners, service)
 		}
 	}
@@ -176,20 +234,21 @@
 	}
 }
 
-// newAssigner returns an assigner that continues from a table that was recorded in the current era or, with the known
-// table if that is newer, in an earlier one.
+// newAssigner returns an assigner that continues from a table that was recorded in the current era or in an earlier one.
+// In the latter case it continues from the known table, if that is newer.
 func (c *Controller) newAssigner(service string, recorded *ownership.Table, now time.Duration) *ownership.Assigner {
-	era := uint64(c.election.Term().Era)
-	if recorded.Era == era {
+	era := c.election.Term().Era
+	if kv.Era(recorded.Era) == era {
 		return ownership.NewAssignerFromTable(c.Ownership, recorded, now)
 	}
-	if known := c.tables[service]; lacksChanges(recorded, kv.Era(era), known) {
+	known, last := c.tables[service], c.lastTables[service]
+	if known != nil && (last || lacksChanges(recorded, era, known)) {
 		merged := *known
 		merged.Hosts = recorded.Hosts
 		recorded = &merged
 	}
-	leaders := c.recentLeaders()
-	c.Log.WithField("service", service).WithField("leaders", leaders).
-		Warning("ownership table is of an earlier era; its keys are granted once earlier grants have expired")
-	return ownership.NewAssignerFromRestoredTable(c.Ownership, recorded, era, leaders, now)
+	loss := ownership.Loss{Era: uint64(era), Leaders: c.recentLeaders(), Complete: last}
+	c.Log.WithFields(logrus.Fields{"service": service, "leaders": loss.Leaders, "complete": last}).
+		Warning("ownership table is of an earlier era; keys that may have moved are granted once earlier grants have expired")
+	return ownership.NewAssignerFromRestoredTable(c.Ownership, recorded, loss, now)
 }
--- a/internal/controller/source.go
+++ b/internal/controller/source.go
@@ -196,6 +196,7 @@
 // applyStoreUpdate applies an update that this gateway has read from the store itself.
 func (c *Controller) applyStoreUpdate(update mirror.Update) {
 	c.applyUpdate(update)
+	c.recordStoreCall(update.Err)
 	if update.Err == nil {
 		c.completeAt = c.Clock()
 	}
--- a/internal/controller/updates.go
+++ b/internal/controller/updates.go
@@ -37,6 +37,7 @@
 		c.Log.WithField("revision", update.AsOf).WithField("known", c.asOf).Info("listing of the store is older than what is known; ignored")
 		return
 	}
+	first := c.asOf.IsZero()
 	restored := !c.asOf.IsZero() && c.asOf.Era != update.AsOf.Era
 	c.observeEra(update.AsOf.Era)
 	c.asOf = update.AsOf
@@ -59,6 +60,9 @@
 		c.adoptTableRevisions()
 	}
 	c.keepNewerTables(knownTables, restored)
+	if first || restored {
+		c.yieldCampaign()
+	}
 	c.directory.Replace(c.Clock(), c.completeAt, servers)
 	c.serversVersion++
 	c.observeLeader(update.AsOf, c.items[election.Key])
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -61,6 +60,8 @@
 	Addr string `json:"addr"`
 	// ID identifies the election. Revisions and leases do not, because they are given out again by a restored store.
 	ID string `json:"id"`
+	// Era is the era of the store in which the leader was elected, as far as it knew.
+	Era kv.Era `json:"era"`
 }
 
 // CallKind is the kind of a store call.
@@ -85,10 +86,10 @@
 	Value []byte
 	// Revision is the revision of the record to withdraw.
 	Revision kv.Revision
-	// ID identifies the election to reclaim. Ended are the IDs of elections before it, whose records a restored store may
-	// contain again.
-	ID    string
-	Ended []string
+	// ID identifies the election to reclaim. Records of elections before EndedBefore are of leaders of which this process
+	// knows that they were replaced; a restored store may contain them again.
+	ID          string
+	EndedBefore kv.Era
 }
 
 // CampaignResult is the result of a successful campaign, or of a record that was reclaimed.
@@ -106,12 +107,13 @@
 	// leader is the last observed leader record; leaderRevision is its creation revision, or zero if there is no leader.
 	leader         Leader
 	leaderRevision kv.Revision
-	// era is the latest era of the store, if eraKnown is set. seen are the IDs of the elections that were observed, the latest last;
-	// ended are those of them that ended in an earlier era.
-	era         kv.Era
-	eraKnown    bool
-	seen, ended []string
-	// campaignAfter is the end of the ReclaimGrace after the latest restore.
+	// era is the latest era of the store, if eraKnown is set.
+	era      kv.Era
+	eraKnown bool
+	// endedBefore is the era before which all elections but that of this process have ended. It is 0 if this process may
+	// have been replaced.
+	endedBefore kv.Era
+	// campaignAfter is the earliest time of a campaign, as set by ObserveEra and DelayCampaign.
 	campaignAfter time.Duration
 	// campaigns counts the campaigns of this process.
 	campaigns int
@@ -182,7 +184,6 @@
 		e.absentSince = now
 	}
 	e.observed = true
-	e.remember(leader.ID)
 	e.leader, e.leaderRevision = leader, created
 	if e.State() == StateLeading && created != e.term {
 		// The lease has expired, even if this process went on renewing it.
@@ -191,33 +192,22 @@
 	return nil
 }
 
-// observeReclaiming gives up the role if another process was elected since the store was restored.
+// observeReclaiming gives up the role if another process was elected.
 func (e *Election) observeReclaiming(leader Leader, created kv.Revision) {
-	if created.IsZero() || leader.ID == e.ownID() || slices.Contains(e.ended, leader.ID) {
+	if created.IsZero() || leader.ID == e.ownID() || leader.Ended(e.self.Host, e.endedBefore) {
 		return
 	}
 	e.transition(eventLose)
 	e.leader, e.leaderRevision = leader, created
-	e.remember(leader.ID)
 }
 
-// maxSeen bounds the IDs of observed elections. A store that is restored goes back by seconds, in which there are few.
-const maxSeen = 64
+// Ended reports whether a record in a restored store is of an election that is known to have ended: before an era, or of
+// an earlier process on the given host.
+func (l Leader) Ended(host string, before kv.Era) bool { return l.Era < before || l.Host == host }
 
-// remember adds the ID of an election to those that were observed.
-func (e *Election) remember(id string) {
-	if id == "" || slices.Contains(e.seen, id) {
-		return
-	}
-	e.seen = append(e.seen, id)
-	if len(e.seen) > maxSeen {
-		e.seen = slices.Delete(e.seen, 0, 1)
-	}
-}
-
-// ObserveEra processes the era of the store. It reports whether the store came back from an earlier copy since the last
-// call.
-func (e *Election) ObserveEra(now time.Duration, era kv.Era) bool {
+// ObserveEra processes the era of the store. unbroken is true if this process, as the leader, knows that it was not
+// replaced before the store was restored. It reports whether the store came back from an earlier copy since the last call.
+func (e *Election) ObserveEra(now time.Duration, era kv.Era, unbroken bool) bool {
 	if e.eraKnown && era <= e.era {
 		return false
 	}
@@ -226,15 +216,20 @@
 	if !restored {
 		return false
 	}
-	e.campaignAfter = now + e.settings.ReclaimGrace
-	own := e.ownID()
-	e.ended = slices.DeleteFunc(slices.Clone(e.seen), func(id string) bool { return id == own })
+	e.DelayCampaign(now + e.settings.ReclaimGrace)
+	e.endedBefore = 0
+	if unbroken {
+		e.endedBefore = era
+	}
 	if e.Acting() {
 		e.transition(eventRestored)
 	}
 	return true
 }
 
+// DelayCampaign sets the earliest time of the next campaign, unless a later one is set.
+func (e *Election) DelayCampaign(until time.Duration) { e.campaignAfter = max(e.campaignAfter, until) }
+
 // Era returns the latest known era of the store.
 func (e *Election) Era() kv.Era { return e.era }
 
@@ -251,7 +246,7 @@
 // record returns the leader record of the latest election of this process.
 func (e *Election) record() Leader {
 	record := e.self
-	record.ID = e.ownID()
+	record.ID, record.Era = e.ownID(), e.era
 	return record
 }
 
@@ -311,7 +306,7 @@
 		return Call{}, false
 	}
 	e.nextReclaim = now + reclaimRetryDelay
-	return e.callWithRecord(Call{Kind: CallReclaim, Lease: e.lease, ID: e.ownID(), Ended: e.ended})
+	return e.callWithRecord(Call{Kind: CallReclaim, Lease: e.lease, ID: e.ownID(), EndedBefore: e.endedBefore})
 }
 
 // withdrawRetryDelay is the delay after a failed attempt to withdraw a record.
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -1,6 +1,7 @@
 package election
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -153,6 +154,10 @@
 // to an election that has ended, or that keeps it although another process was elected since.
 func TestReclaim(t *testing.T) {
 	restored := kv.Revision{Era: testEra + 1, Number: 4}
+	otherRecord := func(host string, era int) func(e *Election) {
+		value := fmt.Appendf(nil, `{"host":%q,"id":"x","era":%d}`, host, era)
+		return func(e *Election) { _ = e.Observe(2*time.Second, restored, restored, value) }
+	}
 	reclaimed := CampaignResult{Term: restored, Lease: 8}
 	cases := []struct {
 		name   string
@@ -163,17 +168,18 @@
 		{"reclaimed", func(e *Election) { e.ReclaimDone(reclaimed, nil, 2*time.Second, 2*time.Second) }, StateLeading},
 		{"failed", func(e *Election) { e.ReclaimDone(CampaignResult{}, kv.ErrUnavailable, 2*time.Second, 2*time.Second) }, StateReclaiming},
 		{"another elected", func(e *Election) { e.ReclaimDone(CampaignResult{}, kv.ErrConflict, 2*time.Second, 2*time.Second) }, StateFollowing},
-		{"another elected, seen in the store", func(e *Election) {
-			_ = e.Observe(2*time.Second, restored, restored, []byte(`{"host":"b","id":"b-1"}`))
+		{"another elected, seen in the store", otherRecord("b", testEra+1), StateFollowing},
+		{"record of an election that has ended", otherRecord("c", testEra), StateReclaiming},
+		{"record of an earlier process on this host", otherRecord("a", testEra+1), StateReclaiming},
+		{"record that may have replaced it", func(e *Election) {
+			e.ObserveEra(2*time.Second, testEra+2, false)
+			_ = e.Observe(2*time.Second, kv.Revision{Era: testEra + 2, Number: 4}, restored, []byte(`{"host":"c","id":"x","era":1}`))
 		}, StateFollowing},
-		{"record of an election that has ended", func(e *Election) {
-			_ = e.Observe(2*time.Second, restored, restored, []byte(`{"host":"c","id":"c-1"}`))
-		}, StateReclaiming},
 		{"no record", func(e *Election) { _ = e.Observe(2*time.Second, restored, kv.Revision{}, nil) }, StateReclaiming},
 		{"lease renewed in the new era", func(e *Election) { e.RenewalDone(testEra+1, nil, 2*time.Second) }, StateReclaiming},
 		{"lease lost with the history", func(e *Election) { e.RenewalDone(testEra+1, kv.ErrLeaseNotFound, 2*time.Second) }, StateReclaiming},
 		{"restored once more", func(e *Election) {
-			e.ObserveEra(2*time.Second, testEra+2)
+			e.ObserveEra(2*time.Second, testEra+2, true)
 			e.ReclaimDone(reclaimed, nil, 2*time.Second, 2*time.Second)
 		}, StateReclaiming},
 		{"not reclaimed within the limit", func(e *Election) { e.NextCall(16 * time.Second) }, StateFollowing},
@@ -181,13 +187,12 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			e := New(testSettings, Leader{Host: "a", ID: "a"})
-			_ = e.Observe(0, at(3), at(3), []byte(`{"host":"c","id":"c-1"}`))
 			_ = e.Observe(0, at(5), kv.Revision{}, nil)
 			if call, due := e.NextCall(time.Second); !due || call.Kind != CallCampaign {
 				t.Fatalf("call %+v, due %v", call, due)
 			}
 			e.CampaignDone(CampaignResult{Term: at(10), Lease: 7}, nil, time.Second, time.Second)
-			e.ObserveEra(2*time.Second, testEra+1)
+			e.ObserveEra(2*time.Second, testEra+1, true)
 			if e.LeaseConfirmed(2 * time.Second) {
 				t.Fatal("lease counts as confirmed although the record may be lost")
 			}
@@ -206,9 +211,9 @@
 	settings := testSettings
 	settings.ReclaimGrace = time.Second
 	e := New(settings, Leader{Host: "b", ID: "b"})
-	e.ObserveEra(0, testEra)
+	e.ObserveEra(0, testEra, false)
 	_ = e.Observe(0, at(5), at(5), []byte(`{"host":"a","id":"a-1"}`))
-	e.ObserveEra(10*time.Second, testEra+1)
+	e.ObserveEra(10*time.Second, testEra+1, false)
 	_ = e.Observe(10*time.Second, kv.Revision{Era: testEra + 1, Number: 3}, kv.Revision{}, nil)
 	if _, due := e.NextCall(10*time.Second + 900*time.Millisecond); due {
 		t.Error("campaigned within the time to reclaim")
--- a/internal/ownership/delta.go
+++ b/internal/ownership/delta.go
@@ -9,8 +9,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/wire"
 )
 
-// Delta returns the rows that differ from an earlier table. It contains only what is needed to route requests: former
-// holders are left out.
+// Delta returns the rows that differ from an earlier table. Of former holders it contains only whether there are any.
 func (t *Table) Delta(before *Table) *wire.OwnershipDelta {
 	beforeByKeys := make(map[Keys]Row, len(before.Rows))
 	for _, row := range before.Rows {
@@ -20,7 +19,8 @@
 	numbers := make(map[Holder]uint32)
 	for _, row := range t.Rows {
 		if previous, ok := beforeByKeys[row.Keys]; ok && previous.Owner == row.Owner &&
-			previous.Token == row.Token && previous.Moving == row.Moving {
+			previous.Token == row.Token && previous.Moving == row.Moving &&
+			(len(previous.Former) > 0) == (len(row.Former) > 0) {
 			continue
 		}
 		delta.Rows = append(delta.Rows, &wire.DeltaRow{
@@ -29,6 +29,7 @@
 			Owner:  holderNumber(delta, numbers, row.Owner),
 			Token:  uint64(row.Token),
 			Moving: row.Moving,
+			Former: len(row.Former) > 0,
 		})
 	}
 	return delta
@@ -56,6 +57,9 @@
 		row := Row{
 			Keys: Keys{First: int(encoded.First), Last: int(encoded.Last)}, Token: Token(encoded.Token), Moving: encoded.Moving,
 		}
+		if encoded.Former {
+			row.Former = []FormerHolder{unknownFormer}
+		}
 		if number := int(encoded.Owner); number > len(delta.Holders) {
 			return nil, errors.Wrapf(ErrInvalidTable, "holder number %d out of range, delta has %d holders",
 				number, len(delta.Holders))
--- a/internal/ownership/history_test.go
+++ b/internal/ownership/history_test.go
@@ -57,10 +57,11 @@
 	events    []scheduledEvent
 	// faultRate is the probability with which orders, writes and responses are lost or delayed.
 	faultRate float64
-	// era is the era of the store, and copied an earlier table, to which it may go back if restores is set.
-	era      uint64
-	copied   *Table
-	restores bool
+	// era is the era of the store, and copied an earlier table, to which it may go back if restores is set. last is the
+	// last table that was recorded in any era, as gateways know it that only route requests.
+	era          uint64
+	copied, last *Table
+	restores     bool
 	// sameAddress is true if a restarted server receives the orders for its former incarnations.
 	sameAddress bool
 }
@@ -90,7 +91,12 @@
 	case h.table == nil:
 		process.assigner = NewAssigner(settings, h.era)
 	case h.table.Era != h.era:
-		process.assigner = NewAssignerFromRestoredTable(settings, h.table, h.era, h.knownLeaders(), h.now)
+		table, complete := h.table, h.random.IntN(2) == 0
+		if complete {
+			table = h.last
+		}
+		loss := Loss{Era: h.era, Leaders: h.knownLeaders(), Complete: complete}
+		process.assigner = NewAssignerFromRestoredTable(settings, table, loss, h.now)
 	default:
 		process.assigner = NewAssignerFromTable(settings, h.table, h.now)
 	}
@@ -127,6 +133,18 @@
 	p.assigner.MarkUnrecorded()
 }
 
+// withoutFormer returns a table as gateways know it that only route requests.
+func withoutFormer(table *Table) *Table {
+	known := *table
+	known.Rows = slices.Clone(table.Rows)
+	for i := range known.Rows {
+		if len(known.Rows[i].Former) > 0 {
+			known.Rows[i].Former = []FormerHolder{unknownFormer}
+		}
+	}
+	return &known
+}
+
 // hostOf returns the host of an elected process. Every process has its own host.
 func hostOf(term int) string { return fmt.Sprint("h", term) }
 
@@ -152,7 +170,7 @@
 		if err != nil {
 			panic(err)
 		}
-		h.table = decoded
+		h.table, h.last = decoded, withoutFormer(decoded)
 		h.revision++
 		return true
 	}
--- a/internal/ownership/restored.go
+++ b/internal/ownership/restored.go
@@ -9,27 +9,41 @@
 // firstToken returns the lowest token of an era.
 func firstToken(era uint64) Token { return Token(era*tokensPerEra + 1) }
 
-// NewAssignerFromRestoredTable returns an assigner that continues, in an era of the store, from a table of an earlier era.
-// The table may lack the last moves, so any backend server may hold any key until the grants of the earlier assigners have
-// expired. leaders are the hosts of those that may still act; without any, one on an unknown host may.
-func NewAssignerFromRestoredTable(settings Settings, table *Table, era uint64, leaders []string, now time.Duration) *Assigner {
+// Loss describes what an assigner knows of the history that the store has lost.
+type Loss struct {
+	// Era is the current era of the store.
+	Era uint64
+	// Leaders are the hosts of the gateways that may still act as the elected one. Without any, one on an unknown host may.
+	Leaders []string
+	// Complete is true if the table is the last one of the lost history. Otherwise it may lack the last moves.
+	Complete bool
+}
+
+// NewAssignerFromRestoredTable returns an assigner that continues from a table of an earlier era of the store. Keys that
+// may have moved since may be held by any backend server until the grants of the earlier assigners have expired.
+func NewAssignerFromRestoredTable(settings Settings, table *Table, loss Loss, now time.Duration) *Assigner {
 	restored := *table
-	restored.NextToken = max(table.NextToken, firstToken(era))
+	restored.NextToken = max(table.NextToken, firstToken(loss.Era))
 	restored.Writer = ""
-	if len(leaders) == 0 {
-		leaders = []string{unknownHost}
+	if len(loss.Leaders) == 0 {
+		loss.Leaders = []string{unknownHost}
 	}
-	for _, leader := range leaders {
+	for _, leader := range loss.Leaders {
 		restored.Hosts = withHost(restored.Hosts, ActiveHost{Name: leader, Grace: settings.PredecessorGrace})
 	}
 	a := NewAssignerFromTable(settings, &restored, now)
 	unknown := a.lastExpiry(now)
 	for _, r := range a.rows {
-		r.formerGrants = append(r.formerGrants, &formerGrant{heldUntil: unknown, unconfirmedUntil: unknown, unfenced: true})
+		if !loss.Complete {
+			r.formerGrants = append(r.formerGrants, &formerGrant{heldUntil: unknown, unconfirmedUntil: unknown, unfenced: true})
+		}
 	}
 	return a
 }
 
+// unknownFormer stands for former holders that are not known. It holds the keys until all earlier grants have expired.
+var unknownFormer = FormerHolder{Unfenced: true}
+
 // unknownHost stands for the hosts of earlier assigners if they are not known.
 const unknownHost = ""
 
