soak: servers that limit their requests, a store that goes back

A server names a limit, a lower one 8 s later, and then none; windows are checked without the requests of gateways that a fault hit less than 3 s before. The store is unreachable for a moment and comes back from one of its copies of the last 9 s; the configuration and the entries of servers are written again.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -53,51 +53,6 @@
 	ReclaimGrace time.Duration
 }
 
-// Leader is the record that the elected process stores about itself.
-type Leader struct {
-	Host string `json:"host"`
-	// Addr is the address on which the leader accepts messages from other processes.
-	Addr string `json:"addr"`
-	// ID identifies the election. Revisions and leases do not, because they are given out again by a restored store.
-	ID string `json:"id"`
-	// Era is the era of the store in which the leader was elected, as far as it knew.
-	Era kv.Era `json:"era"`
-}
-
-// CallKind is the kind of a store call.
-type CallKind int
-
-// Kinds of store calls.
-const (
-	// CallCampaign creates a lease and writes the leader record under it.
-	CallCampaign CallKind = iota
-	// CallRenew renews the lease.
-	CallRenew
-	// CallWithdraw removes the leader record of an earlier process on this host, if its revision is still Revision.
-	CallWithdraw
-	// CallReclaim finds the leader record of this process in a restored store, or writes it again under a new lease.
-	CallReclaim
-)
-
-// Call is a store call for the caller to execute.
-type Call struct {
-	Kind  CallKind
-	Lease kv.LeaseID
-	Value []byte
-	// Revision is the revision of the record to withdraw.
-	Revision kv.Revision
-	// ID identifies the election to reclaim. Records of elections before EndedBefore are of leaders of which this process
-	// knows that they were replaced; a restored store may contain them again.
-	ID          string
-	EndedBefore kv.Era
-}
-
-// CampaignResult is the result of a successful campaign, or of a record that was reclaimed.
-type CampaignResult struct {
-	Term  kv.Revision
-	Lease kv.LeaseID
-}
-
 // Election is the election state of one process. Times are read from a clock that keeps running while the machine is
 // suspended.
 type Election struct {
@@ -201,10 +156,6 @@
 	e.leader, e.leaderRevision = leader, created
 }
 
-// Ended reports whether a record in a restored store is of an election that is known to have ended: before an era, or of
-// an earlier process on the given host.
-func (l Leader) Ended(host string, before kv.Era) bool { return l.Era < before || l.Host == host }
-
 // ObserveEra processes the era of the store. unbroken is true if this process, as the leader, knows that it was not
 // replaced before the store was restored. It reports whether the store came back from an earlier copy since the last call.
 func (e *Election) ObserveEra(now time.Duration, era kv.Era, unbroken bool) bool {
@@ -233,13 +184,6 @@
 // Era returns the latest known era of the store.
 func (e *Election) Era() kv.Era { return e.era }
 
-// DecodeLeader decodes a leader record.
-func DecodeLeader(value []byte) (Leader, error) {
-	var leader Leader
-	err := json.Unmarshal(value, &leader)
-	return leader, errors.Wrap(err, "decode leader record; waiting for its lease to expire")
-}
-
 // ownID returns the ID of the latest election of this process.
 func (e *Election) ownID() string { return fmt.Sprintf("%s-%d", e.self.ID, e.campaigns) }
 
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -1,11 +1,15 @@
 package soak
 
 import (
+	"math"
 	"time"
 
 	"github.com/sapphireplank/sapphireplank/platform/standin"
 )
 
+// noLimit is the limit of a server that does not limit its requests.
+var noLimit = math.Inf(1)
+
 // backend is a backend server behind a proxy. Its address does not change when the server restarts.
 type backend struct {
 	options standin.ServerOptions
@@ -19,6 +23,7 @@
 		return nil, err
 	}
 	options.Advertise = proxy.Addr()
+	options.Rate = &standin.RateCheck{}
 	b := &backend{options: options, proxy: proxy}
 	return b, b.start()
 }
@@ -37,6 +42,7 @@
 // restart crashes the server and starts it again after a delay.
 func (b *backend) restart(delay time.Duration) error {
 	b.server.Crash()
+	b.options.Rate.Set(time.Now(), noLimit)
 	time.Sleep(delay)
 	return b.start()
 }
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -24,7 +24,9 @@
 	// bodyBytes is the length of the body of each request that was sent.
 	bodyBytes map[string]int64
 	// refused holds the requests that a client was told have not been and will not be executed.
-	refused    map[string]bool
+	refused map[string]bool
+	// gateways maps each request to the gateway to which it was sent.
+	gateways   map[string]string
 	heldRanges map[string][]standin.HeldRange
 	// ownershipUncheckedUntil is when the check for concurrent owners resumes.
 	ownershipUncheckedUntil time.Time
@@ -37,6 +39,7 @@
 func NewChecker() *Checker {
 	return &Checker{
 		executions: make(map[string]int), bodyBytes: make(map[string]int64), atMostOnce: make(map[string]bool), refused: make(map[string]bool),
+		gateways:   make(map[string]string),
 		heldRanges: make(map[string][]standin.HeldRange),
 	}
 }
@@ -53,10 +56,11 @@
 	return append([]string(nil), c.violations...)
 }
 
-// RecordRequest records a request before it is sent.
-func (c *Checker) RecordRequest(request string, atMostOnce bool, bodyBytes int64) {
+// RecordRequest records a request before it is sent to a gateway.
+func (c *Checker) RecordRequest(request, gateway string, atMostOnce bool, bodyBytes int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.gateways[request] = gateway
 	c.bodyBytes[request] = bodyBytes
 	c.atMostOnce[request] = atMostOnce
 }
@@ -135,6 +139,20 @@
 	}
 }
 
+// GatewayOf implements standin.Observer.
+func (c *Checker) GatewayOf(request string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gateways[request]
+}
+
+// RecordExcess records that a server got more requests than the limit that it had named allows.
+func (c *Checker) RecordExcess(server string, excess standin.RateExcess) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addViolation("server %s got %d requests in a window, %.1f allowed", server, excess.Requests, excess.Allowed)
+}
+
 // HeldRangesChanged implements standin.Observer.
 func (c *Checker) HeldRangesChanged(server string, ranges []standin.HeldRange) {
 	c.mu.Lock()
--- a/internal/soak/checker_test.go
+++ b/internal/soak/checker_test.go
@@ -11,7 +11,7 @@
 
 // Guards against a fault injection run that misses a violation: each guarantee is violated in turn.
 func TestCheckerDetectsEachViolation(t *testing.T) {
-	sendOnce := func(c *Checker) { c.RecordRequest("r", true, 0) }
+	sendOnce := func(c *Checker) { c.RecordRequest("r", "g", true, 0) }
 	execute := func(c *Checker) { c.ExecutionStarted(standin.Execution{Server: "a", Request: "r"}) }
 	hold := func(server string, left time.Duration) func(*Checker) {
 		return func(c *Checker) {
@@ -19,7 +19,7 @@
 		}
 	}
 	executeKeyed := func(c *Checker) {
-		c.RecordRequest("k", false, 0)
+		c.RecordRequest("k", "g", false, 0)
 		c.ExecutionStarted(standin.Execution{Server: "a", Request: "k", Key: 7, HasKey: true})
 	}
 	respond := func(id, signature, body string) func(*Checker) {
@@ -34,7 +34,7 @@
 		{"no violation", []func(*Checker){sendOnce, execute, validResponse}, ""},
 		{"execution of a request that was not sent", []func(*Checker){execute}, "no client sent"},
 		{"second execution", []func(*Checker){sendOnce, execute, execute}, "second time"},
-		{"incomplete body", []func(*Checker){func(c *Checker) { c.RecordRequest("r", true, 9) }, execute}, "0 of 9 bytes"},
+		{"incomplete body", []func(*Checker){func(c *Checker) { c.RecordRequest("r", "g", true, 9) }, execute}, "0 of 9 bytes"},
 		{"refusal after the execution", []func(*Checker){sendOnce, execute, func(c *Checker) { c.RecordRefusal("r") }}, "had been executed"},
 		{"execution after the refusal", []func(*Checker){sendOnce, func(c *Checker) { c.RecordRefusal("r") }, execute}, "which was refused"},
 		{"response of another request", []func(*Checker){sendOnce, execute, respond("q", "s", standin.Body("r"))}, "response of request q"},
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -94,13 +94,14 @@
 func (c *client) newRequest() (*http.Request, string, error) {
 	atMostOnce := c.random.IntN(2) == 0
 	id := fmt.Sprintf("r%d", c.counts.lastID.Add(1))
-	baseURL := "http://" + c.gateways[c.gatewayIndex%len(c.gateways)].clientAddr
+	gateway := c.gateways[c.gatewayIndex%len(c.gateways)]
+	baseURL := "http://" + gateway.clientAddr
 	if atMostOnce {
 		body := "order " + id
 		if c.random.IntN(uploadInterval) == 0 {
 			body += strings.Repeat(".", c.random.IntN(maxUploadBytes))
 		}
-		c.checker.RecordRequest(id, atMostOnce, int64(len(body)))
+		c.checker.RecordRequest(id, gateway.name, atMostOnce, int64(len(body)))
 		request, err := http.NewRequest(http.MethodPost, baseURL+oncePath, strings.NewReader(body))
 		if err != nil {
 			return nil, "", err
@@ -110,7 +111,7 @@
 		c.setHeaders(request, id)
 		return request, id, nil
 	}
-	c.checker.RecordRequest(id, atMostOnce, 0)
+	c.checker.RecordRequest(id, gateway.name, atMostOnce, 0)
 	request, err := http.NewRequest(http.MethodGet, baseURL+keyedPath, http.NoBody)
 	if err != nil {
 		return nil, "", err
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -35,9 +35,11 @@
 	// cleanups release resources. They run in reverse order.
 	cleanups []func()
 
-	// mu protects configVersion.
+	// mu protects the fields below.
 	mu            sync.Mutex
 	configVersion int
+	// copies are the last copies of the store, the latest last.
+	copies []kv.Copy
 }
 
 const configFormat = `{"version":"r%d",
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -38,23 +38,38 @@
 	duration := randomDuration(random, minFaultDuration, maxFaultDuration)
 	restartDelay := randomDuration(random, minRestartDelay, maxRestartDelay)
 	serverID := b.options.ID
+	age := random.IntN(maxCopies)
+	limit := minLimit + random.Float64()*(maxLimit-minLimit)
 	faults := []fault{
-		{"process paused", g.name, func() error { return d.pauseGateway(g, duration) }},
-		{"process killed", g.name, func() error { return g.restart(syscall.SIGKILL, restartDelay) }},
-		{"process terminated", g.name, func() error { return g.restart(syscall.SIGTERM, restartDelay) }},
-		{"store connections stalled", g.name, func() error { return d.stall(g.storeProxy, duration) }},
-		{"store connections reset", g.name, func() error { return d.disconnect(g.storeProxy, duration) }},
-		{"store connections delayed", g.name, func() error { return d.delay(g.storeProxy, duration) }},
+		d.gatewayFault("process paused", g, func() error { return d.pauseGateway(g, duration) }),
+		d.gatewayFault("process killed", g, func() error { return g.restart(syscall.SIGKILL, restartDelay) }),
+		d.gatewayFault("process terminated", g, func() error { return g.restart(syscall.SIGTERM, restartDelay) }),
+		d.gatewayFault("store connections stalled", g, func() error { return d.stall(g.storeProxy, duration) }),
+		d.gatewayFault("store connections reset", g, func() error { return d.disconnect(g.storeProxy, duration) }),
+		d.gatewayFault("store connections delayed", g, func() error { return d.delay(g.storeProxy, duration) }),
 		{"store unreachable", wholeDeployment, func() error { return d.disconnectStore(duration) }},
 		{"server connections stalled", serverID, func() error { return d.stall(b.proxy, duration) }},
 		{"server connections reset", serverID, func() error { return d.disconnect(b.proxy, duration) }},
 		{"server connections delayed", serverID, func() error { return d.delay(b.proxy, duration) }},
+		{"server limits its requests", serverID, func() error { return limitRequests(b, limit, duration) }},
+		{"store restored", wholeDeployment, func() error { return d.restoreStore(duration/awayShare, age) }},
 		{"server restarted", serverID, func() error { return b.restart(restartDelay) }},
 		{"new configuration", wholeDeployment, d.publishConfig},
 	}
 	return faults[random.IntN(len(faults))]
 }
 
+// gatewayFault returns a fault of a gateway. Until the gateway has recovered, its requests are left out of the check of
+// limits.
+func (d *deployment) gatewayFault(name string, g *gateway, inject func() error) fault {
+	return fault{name, g.name, func() error {
+		d.excuse(g, time.Now().Add(time.Minute))
+		err := inject()
+		d.excuse(g, time.Now().Add(recoveryTime))
+		return err
+	}}
+}
+
 // pauseGateway stops a gateway process by SIGSTOP and continues it after a time.
 func (d *deployment) pauseGateway(g *gateway, duration time.Duration) error {
 	g.signal(syscall.SIGSTOP)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -57,6 +57,7 @@
 	var total counts
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	go d.copyStore(ctx)
 	var clients sync.WaitGroup
 	for i := range clientCount {
 		c := &client{
@@ -77,6 +78,7 @@
 	clients.Wait()
 	fmt.Fprintf(options.Output, "seed %d: %d requests, %d served, %d refused, %d failed\n",
 		options.Seed, total.sent.Load(), total.served.Load(), total.refused.Load(), total.failed.Load())
+	d.checkLimits()
 	if violations := d.checker.Violations(); len(violations) > 0 {
 		return errors.Wrapf(ErrViolation, "seed %d: %d violations; the first: %s", options.Seed, len(violations), violations[0])
 	}
