controller, ownership: confirm the last table by witnesses; elections during a restore

A gateway took its table for the last one of a lost history if its last news of the store were close to its first failed call. A gateway that was cut off on its own meets that too, and would have granted keys that were moved meanwhile. Now it waits until most gateways have told it, as they connect, that they remember no newer table. A process that has just started is no witness.

TestRestoreDuringElection: a gateway that was elected just before the restore read the restored table in the old term and took it for the latest; keys 0 to 15 were granted to two servers.

--- a/internal/controller/assign.go
+++ b/internal/controller/assign.go
@@ -11,6 +11,7 @@
 
 	"github.com/sapphireplank/sapphireplank/internal/boottime"
 	"github.com/sapphireplank/sapphireplank/internal/directory"
+	"github.com/sapphireplank/sapphireplank/internal/election"
 	"github.com/sapphireplank/sapphireplank/internal/kv"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
 	"github.com/sapphireplank/sapphireplank/internal/relay"
@@ -46,6 +47,10 @@
 	// revision is the revision of the recorded table, or zero if there is none.
 	revision kv.Revision
 	writing  bool
+	// continuedFrom is the NextToken of the table of an earlier era from which the assigner continues. confirmed is set once
+	// that is known to be the last table of its history.
+	continuedFrom ownership.Token
+	confirmed     bool
 	// reloadAt is when the table is read again, if it could not be decoded. It is 0 while the table is being loaded.
 	reloadAt time.Duration
 	// recordRetryAt is the earliest time of the next write after a failed one.
@@ -68,7 +73,9 @@
 		}
 		a := c.assigners[name]
 		if a == nil || a.reloadAt > 0 && now >= a.reloadAt {
-			c.loadAssigner(ctx, name)
+			if c.election.State() == election.StateLeading {
+				c.loadAssigner(ctx, name)
+			}
 			continue
 		}
 		if a.assigner == nil {
@@ -96,7 +103,12 @@
 // assignerLoaded creates the assigner from the recorded table, or an empty one if no table is recorded.
 func (c *Controller) assignerLoaded(service string, a *assignment, term kv.Revision, item kv.Item, err error) {
 	c.observeCallEra(item.Revision.Era)
-	if c.assigners[service] != a || term != c.election.Term() {
+	if c.assigners[service] != a {
+		return
+	}
+	if term != c.election.Term() || term.Era != c.election.Era() {
+		// The table is that of another history than the one in which this gateway was elected.
+		delete(c.assigners, service)
 		return
 	}
 	now := boottime.Now()
@@ -105,6 +117,7 @@
 	case errors.Is(err, kv.ErrNotFound) && c.tables[service] != nil:
 		a.assigner = c.newAssigner(service, c.tables[service], now)
 		c.passPredecessors(a.assigner, now)
+		c.confirmTable(service, a)
 		log.Info("no recorded ownership table; continuing from the known one")
 	case errors.Is(err, kv.ErrNotFound):
 		a.assigner = ownership.NewAssigner(c.Ownership, uint64(term.Era))
@@ -122,6 +135,7 @@
 		}
 		a.assigner = c.newAssigner(service, table, now)
 		c.passPredecessors(a.assigner, now)
+		c.confirmTable(service, a)
 		a.revision = item.Revision
 		log.WithField("rows", len(table.Rows)).Info("ownership taken over")
 	}
--- a/internal/controller/broadcast.go
+++ b/internal/controller/broadcast.go
@@ -227,6 +227,9 @@
 // ReportReceived implements relay.Receiver.
 func (c *Controller) ReportReceived(session *relay.Session, report *wire.RelayUp) {
 	c.aggregator.Report(session.Host, session.ID, report)
+	if len(report.KnownTables) > 0 {
+		c.enqueue(func() { c.hearWitness(session.Host, report.KnownTables) })
+	}
 	if report.KnowsLeaders {
 		c.enqueue(func() { c.learnPredecessors(report.Leaders) })
 	}
--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -83,6 +83,9 @@
 }
 
 func (c *Controller) campaignDone(result election.CampaignResult, err error, started time.Duration) {
+	if err == nil {
+		c.observeCallEra(result.Term.Era)
+	}
 	c.election.CampaignDone(result, err, started, boottime.Now())
 	if err != nil {
 		c.Log.WithError(err).Info("campaign failed")
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -117,11 +117,10 @@
 	predecessorsKnown bool
 	// termUnbroken is set if this gateway was the elected one when the store was restored, and cannot have been replaced.
 	termUnbroken bool
-	// storeFailing is set while the mirror's calls of the store fail, the first of them at storeFailedAt.
-	storeFailing  bool
-	storeFailedAt time.Duration
-	// lastTables tells for each service whether the known table was the last one before the store was restored.
-	lastTables map[string]bool
+	// remembered tells for each service whether its table is known from before the store was restored. witnesses are the
+	// other gateways that remember it, with the NextToken of their table.
+	remembered map[string]bool
+	witnesses  map[string]map[string]ownership.Token
 	// stopping is set once this gateway is to resign. It does not campaign any more.
 	stopping bool
 	// resigning is set while the end of the election lease is being requested. Meanwhile this gateway sends no orders.
@@ -140,7 +139,8 @@
 		election:   election.New(options.Election, election.Leader{Host: options.Host, Addr: options.Addr, ID: rand.Text()}),
 		assigners:  make(map[string]*assignment),
 		leaders:    make(map[string]time.Duration),
-		lastTables: make(map[string]bool),
+		remembered: make(map[string]bool),
+		witnesses:  make(map[string]map[string]ownership.Token),
 		meters:     make(map[string]*ownership.RateMeter),
 		allocator:  quota.NewAllocator(),
 		items:      make(map[string]kv.Item),
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -58,16 +58,18 @@
 	// mu protects the fields below.
 	mu     sync.Mutex
 	owners [testKeys]string
+	// until are the times at which the grants expire.
+	until [testKeys]time.Time
 }
 
 func (o *testOrders) Grant(_ context.Context, grant ownership.Grant) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for key := grant.Keys.First; key <= grant.Keys.Last; key++ {
-		if owner := o.owners[key]; owner != "" && owner != grant.Server.ID {
+		if owner := o.owners[key]; owner != "" && owner != grant.Server.ID && time.Now().Before(o.until[key]) {
 			o.t.Errorf("key %d granted to %s while %s holds it", key, grant.Server.ID, owner)
 		}
-		o.owners[key] = grant.Server.ID
+		o.owners[key], o.until[key] = grant.Server.ID, time.Now().Add(grant.Duration)
 	}
 	return nil
 }
@@ -131,6 +133,7 @@
 		DataPlane: dataPlane,
 		Election: election.Settings{
 			TTL: 600 * time.Millisecond, RenewInterval: 100 * time.Millisecond, OutageGrace: time.Second, CampaignDelay: 10 * time.Millisecond,
+			ReclaimGrace: 200 * time.Millisecond,
 		},
 		Ownership: ownership.Settings{
 			Host: host, Keys: testKeys, GrantDuration: 800 * time.Millisecond, RenewInterval: 200 * time.Millisecond,
--- a/internal/controller/restore.go
+++ b/internal/controller/restore.go
@@ -28,7 +28,7 @@
 		return false
 	}
 	c.termUnbroken = unbroken
-	c.rememberLostHistory()
+	c.rememberTables()
 	c.Log.WithField("era", era).WithField("known", c.asOf).Warning("store came back from an earlier copy; reading it again")
 	c.directory.RecordRestore(c.Clock())
 	for _, a := range c.assigners {
@@ -58,43 +58,6 @@
 	return 2*(len(c.server.Hosts())+1) > c.gateways.value(c.Clock())
 }
 
-// maxHistoryGap is the longest time from the last news of the store to its first failure for which a gateway has missed
-// nothing: a watch waits for watchTimeout, and a silent one is given up a little later.
-const maxHistoryGap = watchTimeout + 750*time.Millisecond
-
-// rememberLostHistory determines which of the known tables were the last ones before the store came back from an earlier
-// copy.
-func (c *Controller) rememberLostHistory() {
-	lost := c.Clock()
-	if c.storeFailing {
-		lost = c.storeFailedAt
-	}
-	followed := !c.asOf.IsZero() && lost-c.completeAt <= maxHistoryGap
-	for service, table := range c.tables {
-		c.lastTables[service] = followed && (kv.Era(table.Era) == c.asOf.Era || c.lastTables[service])
-	}
-}
-
-// recordStoreCall records whether a call of the store succeeded.
-func (c *Controller) recordStoreCall(err error) {
-	if err != nil && !c.storeFailing {
-		c.storeFailedAt = c.Clock()
-	}
-	c.storeFailing = err != nil
-}
-
-// yieldCampaign leaves the next election to gateways that know the last tables of a lost history, if this one does not.
-func (c *Controller) yieldCampaign() {
-	for service, table := range c.tables {
-		if kv.Era(table.Era) < c.asOf.Era && !c.lastTables[service] {
-			c.election.DelayCampaign(boottime.Now() + yieldDelay)
-		}
-	}
-}
-
-// yieldDelay is how much later a gateway campaigns that does not know the last tables.
-const yieldDelay = 2500 * time.Millisecond
-
 // restartMirror makes chooseSource start another mirror of the store, whose first watch finds that the history is gone.
 func (c *Controller) restartMirror() {
 	if c.source.stopMirror != nil {
@@ -241,14 +204,16 @@
 	if kv.Era(recorded.Era) == era {
 		return ownership.NewAssignerFromTable(c.Ownership, recorded, now)
 	}
-	known, last := c.tables[service], c.lastTables[service]
-	if known != nil && (last || lacksChanges(recorded, era, known)) {
+	if known := c.tables[service]; known != nil && known.NextToken > recorded.NextToken {
 		merged := *known
 		merged.Hosts = recorded.Hosts
 		recorded = &merged
 	}
-	loss := ownership.Loss{Era: uint64(era), Leaders: c.recentLeaders(), Complete: last}
-	c.Log.WithFields(logrus.Fields{"service": service, "leaders": loss.Leaders, "complete": last}).
-		Warning("ownership table is of an earlier era; keys that may have moved are granted once earlier grants have expired")
-	return ownership.NewAssignerFromRestoredTable(c.Ownership, recorded, loss, now)
+	if a := c.assigners[service]; a != nil {
+		a.continuedFrom = recorded.NextToken
+	}
+	leaders := c.recentLeaders()
+	c.Log.WithFields(logrus.Fields{"service": service, "leaders": leaders}).
+		Warning("ownership table is of an earlier era; keys are granted once it is confirmed or earlier grants have expired")
+	return ownership.NewAssignerFromRestoredTable(c.Ownership, recorded, uint64(era), leaders, now)
 }
--- a/internal/controller/source.go
+++ b/internal/controller/source.go
@@ -100,7 +100,9 @@
 	connectionID := s.connectionID
 	ctx, s.stopRelay = context.WithCancel(ctx)
 	client := &relay.Client{
-		Hello:   &wire.RelayUp{Host: c.Host, Leaders: c.recentLeaders(), KnowsLeaders: c.knowsLeaders()},
+		Hello: &wire.RelayUp{
+			Host: c.Host, Leaders: c.recentLeaders(), KnowsLeaders: c.knowsLeaders(), KnownTables: c.knownTables(),
+		},
 		Dialer:  c.Dialer,
 		Collect: c.reportCollector(),
 		Receive: func(message *wire.RelayDown) { c.enqueue(func() { c.handleRelayMessage(connectionID, message) }) },
@@ -196,7 +198,6 @@
 // applyStoreUpdate applies an update that this gateway has read from the store itself.
 func (c *Controller) applyStoreUpdate(update mirror.Update) {
 	c.applyUpdate(update)
-	c.recordStoreCall(update.Err)
 	if update.Err == nil {
 		c.completeAt = c.Clock()
 	}
--- a/internal/ownership/formergrant.go
+++ b/internal/ownership/formergrant.go
@@ -16,6 +16,8 @@
 	unfenced bool
 	released bool
 	handover string
+	// lostMove is true if the grant stands for moves that a restored table may lack.
+	lostMove bool
 	// inFlight is true while a release or a fencing grant to the holder awaits its result.
 	inFlight bool
 	nextSend time.Duration
--- a/internal/ownership/history_test.go
+++ b/internal/ownership/history_test.go
@@ -91,12 +91,7 @@
 	case h.table == nil:
 		process.assigner = NewAssigner(settings, h.era)
 	case h.table.Era != h.era:
-		table, complete := h.table, h.random.IntN(2) == 0
-		if complete {
-			table = h.last
-		}
-		loss := Loss{Era: h.era, Leaders: h.knownLeaders(), Complete: complete}
-		process.assigner = NewAssignerFromRestoredTable(settings, table, loss, h.now)
+		process.assigner = h.continueRestored(settings)
 	default:
 		process.assigner = NewAssignerFromTable(settings, h.table, h.now)
 	}
--- a/internal/ownership/historyrestore_test.go
+++ b/internal/ownership/historyrestore_test.go
@@ -3,8 +3,20 @@
 import (
 	"maps"
 	"slices"
+	"time"
 )
 
+// continueRestored returns an assigner that continues from the restored table, or from the last one that was recorded. In
+// the latter case it learns so a little later.
+func (h *history) continueRestored(settings Settings) *Assigner {
+	if h.random.IntN(2) == 0 {
+		return NewAssignerFromRestoredTable(settings, h.table, h.era, h.knownLeaders(), h.now)
+	}
+	a := NewAssignerFromRestoredTable(settings, h.last, h.era, h.knownLeaders(), h.now)
+	h.schedule(h.randomDelay(time.Second), a.ConfirmTable)
+	return a
+}
+
 // knownLeaders returns the hosts of the processes that may still act, or none if the new process has not seen them.
 func (h *history) knownLeaders() []string {
 	if h.random.IntN(2) == 0 {
--- a/internal/ownership/restored.go
+++ b/internal/ownership/restored.go
@@ -1,6 +1,9 @@
 package ownership
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // tokensPerEra is the number of tokens that can be assigned in one era of the store. Tokens of a later era are higher than
 // those that were assigned in a history that is lost.
@@ -9,38 +12,38 @@
 // firstToken returns the lowest token of an era.
 func firstToken(era uint64) Token { return Token(era*tokensPerEra + 1) }
 
-// Loss describes what an assigner knows of the history that the store has lost.
-type Loss struct {
-	// Era is the current era of the store.
-	Era uint64
-	// Leaders are the hosts of the gateways that may still act as the elected one. Without any, one on an unknown host may.
-	Leaders []string
-	// Complete is true if the table is the last one of the lost history. Otherwise it may lack the last moves.
-	Complete bool
-}
-
-// NewAssignerFromRestoredTable returns an assigner that continues from a table of an earlier era of the store. Keys that
-// may have moved since may be held by any backend server until the grants of the earlier assigners have expired.
-func NewAssignerFromRestoredTable(settings Settings, table *Table, loss Loss, now time.Duration) *Assigner {
+// NewAssignerFromRestoredTable returns an assigner that continues, in an era of the store, from a table of an earlier era.
+// The table may lack the last moves, so any backend server may hold any key until the grants of the earlier assigners have
+// expired, or until ConfirmTable is called. leaders are the hosts of the gateways that may still act as the elected one;
+// without any, one on an unknown host may.
+func NewAssignerFromRestoredTable(settings Settings, table *Table, era uint64, leaders []string, now time.Duration) *Assigner {
 	restored := *table
-	restored.NextToken = max(table.NextToken, firstToken(loss.Era))
+	restored.NextToken = max(table.NextToken, firstToken(era))
 	restored.Writer = ""
-	if len(loss.Leaders) == 0 {
-		loss.Leaders = []string{unknownHost}
+	if len(leaders) == 0 {
+		leaders = []string{unknownHost}
 	}
-	for _, leader := range loss.Leaders {
+	for _, leader := range leaders {
 		restored.Hosts = withHost(restored.Hosts, ActiveHost{Name: leader, Grace: settings.PredecessorGrace})
 	}
 	a := NewAssignerFromTable(settings, &restored, now)
 	unknown := a.lastExpiry(now)
 	for _, r := range a.rows {
-		if !loss.Complete {
-			r.formerGrants = append(r.formerGrants, &formerGrant{heldUntil: unknown, unconfirmedUntil: unknown, unfenced: true})
-		}
+		r.formerGrants = append(r.formerGrants, &formerGrant{
+			heldUntil: unknown, unconfirmedUntil: unknown, unfenced: true, lostMove: true,
+		})
 	}
 	return a
 }
 
+// ConfirmTable records that the table from which the assigner continues was the last one of the lost history, so that no
+// moves are missing.
+func (a *Assigner) ConfirmTable() {
+	for _, r := range a.rows {
+		r.formerGrants = slices.DeleteFunc(r.formerGrants, func(g *formerGrant) bool { return g.lostMove })
+	}
+}
+
 // unknownFormer stands for former holders that are not known. It holds the keys until all earlier grants have expired.
 var unknownFormer = FormerHolder{Unfenced: true}
 
--- a/internal/ownership/restored_test.go
+++ b/internal/ownership/restored_test.go
@@ -31,35 +31,33 @@
 		earliest time.Duration
 	}{
 		{"unknown predecessor", func() *Assigner {
-			return NewAssignerFromRestoredTable(settings, table, Loss{Era: 1}, 0)
+			return NewAssignerFromRestoredTable(settings, table, 1, nil, 0)
 		}, settings.PredecessorGrace + lastGrant},
 		{"predecessor on the same host", func() *Assigner {
-			return NewAssignerFromRestoredTable(settings, table, Loss{Era: 1, Leaders: []string{"new"}}, 0)
+			return NewAssignerFromRestoredTable(settings, table, 1, []string{"new"}, 0)
 		}, lastGrant},
 		{"predecessor that has stopped", func() *Assigner {
-			a := NewAssignerFromRestoredTable(settings, table, Loss{Era: 1, Leaders: []string{"old"}}, 0)
+			a := NewAssignerFromRestoredTable(settings, table, 1, []string{"old"}, 0)
 			a.HostStopped("old", 0)
 			return a
 		}, lastGrant},
 		{"predecessor that is told later and has stopped", func() *Assigner {
-			a := NewAssignerFromRestoredTable(settings, table, Loss{Era: 1}, 0)
+			a := NewAssignerFromRestoredTable(settings, table, 1, nil, 0)
 			a.PredecessorsKnown([]string{"old"}, 0)
 			a.HostStopped("old", 0)
 			return a
 		}, lastGrant},
 		{"predecessor that is told later and may act", func() *Assigner {
-			a := NewAssignerFromRestoredTable(settings, table, Loss{Era: 1}, 0)
+			a := NewAssignerFromRestoredTable(settings, table, 1, nil, 0)
 			a.PredecessorsKnown([]string{"old"}, 0)
 			return a
 		}, settings.PredecessorGrace + lastGrant},
+		{"last table", func() *Assigner {
+			a := NewAssignerFromRestoredTable(settings, table, 1, nil, 0)
+			a.ConfirmTable()
+			return a
+		}, 0},
 	}
-	cases = append(cases, struct {
-		name     string
-		assigner func() *Assigner
-		earliest time.Duration
-	}{"the last table is known", func() *Assigner {
-		return NewAssignerFromRestoredTable(settings, table, Loss{Era: 1, Complete: true}, 0)
-	}, 0})
 	table.Hosts, table.Writer = nil, ""
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
