--- a/internal/controller/quotas.go
+++ b/internal/controller/quotas.go
@@ -22,6 +22,9 @@
 	for _, report := range c.DataPlane.QuotaReports() {
 		c.allocator.Report(c.Host, report, now)
 	}
+	if c.allocator.Empty() {
+		return
+	}
 	hosts := append(c.server.Hosts(), c.Host)
 	slices.Sort(hosts)
 	grants := c.allocator.Allocate(slices.Compact(hosts), c.gateways.value(now), now)
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -56,6 +56,9 @@
 // NewAllocator returns an allocator that knows no limits.
 func NewAllocator() *Allocator { return &Allocator{servers: make(map[uint32]*allocation)} }
 
+// Empty reports whether no limit is known or has recently ended.
+func (a *Allocator) Empty() bool { return len(a.servers) == 0 }
+
 // Report applies the report of a gateway. The time of its statement is in terms of the caller's clock.
 func (a *Allocator) Report(host string, report Report, now time.Duration) {
 	s := a.servers[report.Server]
