controller: record a table of an earlier era only once it is confirmed

A gateway took over after a restore and was stopped 0.3 s later. It had recorded its table in the new era, unconfirmed, so the next one took the table for the latest with all the waits in it, and no gateway remembered the lost one any more.

Such a table is recorded once most gateways have confirmed it, or after 3 s. Until then another gateway can continue from the lost table as well. No order was possible before in any case.

--- a/internal/controller/assign.go
+++ b/internal/controller/assign.go
@@ -47,10 +47,11 @@
 	// revision is the revision of the recorded table, or zero if there is none.
 	revision kv.Revision
 	writing  bool
-	// continuedFrom is the NextToken of the table of an earlier era from which the assigner continues. confirmed is set once
-	// that is known to be the last table of its history.
+	// continuedFrom is the NextToken of the table of an earlier era from which the assigner continues, or 0. confirmed is
+	// set once that is known to be the last table of its history. Until confirmBy, it is not recorded before.
 	continuedFrom ownership.Token
 	confirmed     bool
+	confirmBy     time.Duration
 	// reloadAt is when the table is read again, if it could not be decoded. It is 0 while the table is being loaded.
 	reloadAt time.Duration
 	// recordRetryAt is the earliest time of the next write after a failed one.
@@ -62,6 +63,9 @@
 	plannedServersVersion int
 }
 
+// awaitsConfirmation reports whether the table from which the assigner continues may lack the last moves.
+func (a *assignment) awaitsConfirmation() bool { return a.continuedFrom > 0 && !a.confirmed }
+
 // runAssigners plans moves, records tables and sends orders for all sharded services while this gateway is elected.
 func (c *Controller) runAssigners(ctx context.Context, now time.Duration) {
 	if c.config == nil {
@@ -242,6 +246,9 @@
 
 // recordTable writes the ownership table to the store if it has changed.
 func (c *Controller) recordTable(ctx context.Context, service string, a *assignment, now time.Duration) {
+	if a.awaitsConfirmation() && now < a.confirmBy {
+		return
+	}
 	if a.writing || now < a.recordRetryAt || !a.assigner.HasUnrecordedChanges() || !c.election.LeaseConfirmed(now) {
 		return
 	}
--- a/internal/controller/restore.go
+++ b/internal/controller/restore.go
@@ -210,7 +210,7 @@
 		recorded = &merged
 	}
 	if a := c.assigners[service]; a != nil {
-		a.continuedFrom = recorded.NextToken
+		a.continuedFrom, a.confirmBy = recorded.NextToken, now+confirmTimeout
 	}
 	leaders := c.recentLeaders()
 	c.Log.WithFields(logrus.Fields{"service": service, "leaders": leaders}).
--- a/internal/controller/restore_test.go
+++ b/internal/controller/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/election"
@@ -131,3 +132,27 @@
 	waitFor(func() bool { return recordedTable(t, store).Era == 1 })
 	waitFor(allOwn(gateways, "a", "b", "c"))
 }
+
+// Guards against a table that a newly elected gateway records before the others have confirmed it. The next one would take
+// it for the latest, and could not have it confirmed any more.
+func TestUnconfirmedTableIsNotRecorded(t *testing.T) {
+	store := kv.NewMemoryStore()
+	gateways, copied := restoredFleet(t, store, &testOrders{t: t})
+	former := electedOf(t, store)
+	for host, g := range gateways {
+		if host != former && len(gateways) > 2 {
+			g.stop()
+			delete(gateways, host)
+		}
+	}
+	gateways[former].stop()
+	delete(gateways, former)
+	store.Restore(copied, "config", "servers/")
+	waitFor(func() bool { leader := electedOf(t, store); return leader != "" && leader != former })
+	time.Sleep(confirmTimeout / 2)
+	if table := recordedTable(t, store); table.Era != 0 {
+		t.Fatalf("table of era %d recorded before it was confirmed", table.Era)
+	}
+	waitFor(func() bool { return recordedTable(t, store).Era == 1 })
+	waitFor(allOwn(gateways, "a", "b", "c"))
+}
--- a/internal/controller/witnesses.go
+++ b/internal/controller/witnesses.go
@@ -13,6 +13,10 @@
 // of the others.
 const yieldDelay = 2500 * time.Millisecond
 
+// confirmTimeout is how long a table of an earlier era that is not confirmed is not recorded. Meanwhile another gateway can
+// continue from it as well as this one.
+const confirmTimeout = 3 * time.Second
+
 // rememberTables determines which of the known tables are those of the history that the store has lost, rather than what
 // this process found in an earlier copy when it started.
 func (c *Controller) rememberTables() {
@@ -61,7 +65,7 @@
 // confirmTable confirms the table from which an assigner continues, if most gateways remember its service and none of them
 // a newer table: the elected gateway sends each change to all others as soon as it is recorded.
 func (c *Controller) confirmTable(service string, a *assignment) {
-	if a.assigner == nil || a.confirmed || !c.remembered[service] {
+	if a.assigner == nil || !a.awaitsConfirmation() || !c.remembered[service] {
 		return
 	}
 	witnesses := c.witnesses[service]
