quota: forget the limit of a server that is gone

Found by reading: a server that left while it named a limit stayed with the allocator for ever, which went on issuing permits for it. A limit without a report for 10 s is dropped (TestAllocatorForgetsServer failed before by the missing rule).

--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -17,6 +17,9 @@
 	reservedShare = 0.5
 	// exchangeTime is the typical time from a request without a permit to the message that brings one.
 	exchangeTime = 100 * time.Millisecond
+	// reportRetention is how long a limit is kept without a report on its server. A gateway that knows the limit reports more
+	// often; without any, the server is gone.
+	reportRetention = 10 * time.Second
 	// permitReportGrace is how long after its expiry a permit that was not reported counts as used.
 	permitReportGrace = 1500 * time.Millisecond
 )
@@ -51,6 +54,8 @@
 	tokens    float64
 	filledAt  time.Duration
 	members   map[string]*member
+	// reportedAt is the time of the last report.
+	reportedAt time.Duration
 }
 
 // NewAllocator returns an allocator that knows no limits.
@@ -66,6 +71,7 @@
 		s = &allocation{members: make(map[string]*member), filledAt: now}
 		a.servers[report.Server] = s
 	}
+	s.reportedAt = now
 	if report.Statement.NewerThan(s.statement) {
 		s.statement = report.Statement
 	}
@@ -88,7 +94,7 @@
 	grants := make(map[string][]Grant)
 	for _, server := range slices.Sorted(maps.Keys(a.servers)) {
 		s := a.servers[server]
-		if !s.statement.Limited && now-s.statement.At > endedRetention {
+		if s.isObsolete(now) {
 			delete(a.servers, server)
 			continue
 		}
@@ -104,6 +110,12 @@
 	return grants
 }
 
+// isObsolete reports whether the limit ended some time ago, or its server is gone.
+func (s *allocation) isObsolete(now time.Duration) bool {
+	ended := !s.statement.Limited && now-s.statement.At > endedRetention
+	return ended || now-s.reportedAt > reportRetention
+}
+
 // waits returns the expected times until a permit is issued for another request, after those that wait already and are as
 // urgent. limit is the number of permits a second.
 func (s *allocation) waits(limit float64) Waits {
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -295,3 +295,16 @@
 		t.Fatalf("waits %v, want a shorter one for more urgent requests", waits)
 	}
 }
+
+// Guards against the limit of a server that is gone, for which permits are issued for ever.
+func TestAllocatorForgetsServer(t *testing.T) {
+	a := NewAllocator()
+	statement := Statement{Limited: true, Limit: 10, At: time.Second}
+	a.Report("a", Report{Server: testServer, Statement: statement}, time.Second)
+	if a.Allocate([]string{"a"}, 1, time.Second+reportRetention); a.Empty() {
+		t.Fatal("limit forgotten while the server may be there")
+	}
+	if a.Allocate([]string{"a"}, 1, 2*time.Second+reportRetention); !a.Empty() {
+		t.Fatal("limit kept although nobody reports on the server")
+	}
+}
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -111,7 +111,7 @@
 	l.share.take()
 }
 
-// Return gives back what Take took for a request that was not sent after all. The elected gateway allocates it again.
+// Return gives back a permit that Take took for a request that was not sent after all. The elected gateway issues it again.
 func (l *Limiter) Return() {
 	if l.usage.Used > 0 {
 		l.usage.Used--
