controller, kv: one check of a majority, one creation of a lease

The majority of gateways was computed in two places, a lease of the in-memory store was created in two, and the test of elections had closures that the tests of restores wrote again; each is one piece now. The comment on kv.Revision said that revisions have no order, beside Before. Behaviour and assertions are unchanged.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -196,36 +196,11 @@
 	for _, host := range []string{"g1", "g2", "g3"} {
 		gateways[host] = startGateway(t, host, store, orders)
 	}
-	allKnow := func(owners ...string) func() bool {
-		return func() bool {
-			for _, g := range gateways {
-				got := g.owners()
-				if len(got) != len(owners) {
-					return false
-				}
-				for _, owner := range owners {
-					if !got[owner] {
-						return false
-					}
-				}
-			}
-			return true
-		}
-	}
+	allKnow := func(owners ...string) func() bool { return allOwn(gateways, owners...) }
 	waitFor(allKnow("a", "b"))
 	put(t, store, "servers/c", directory.Server{ID: "c", Service: "s", Addr: "c", Slots: 2})
 	waitFor(allKnow("a", "b", "c"))
-	leader := func() string {
-		item, err := store.Get(t.Context(), election.Key)
-		if err != nil {
-			return ""
-		}
-		var record election.Leader
-		if err := json.Unmarshal(item.Value, &record); err != nil {
-			t.Fatal(err)
-		}
-		return record.Host
-	}
+	leader := func() string { return electedOf(t, store) }
 	resigning := leader()
 	gateways[resigning].Resign(t.Context())
 	gateways[resigning].stop()
--- a/internal/controller/restore.go
+++ b/internal/controller/restore.go
@@ -54,8 +54,11 @@
 }
 
 // hasMostGateways reports whether more than half of the gateways, this one included, are connected to this one.
-func (c *Controller) hasMostGateways() bool {
-	return 2*(len(c.server.Hosts())+1) > c.gateways.value(c.Clock())
+func (c *Controller) hasMostGateways() bool { return c.areMostGateways(len(c.server.Hosts())) }
+
+// areMostGateways reports whether a number of other gateways and this one are more than half of all.
+func (c *Controller) areMostGateways(others int) bool {
+	return 2*(others+1) > c.gateways.value(c.Clock())
 }
 
 // restartMirror makes chooseSource start another mirror of the store, whose first watch finds that the history is gone.
--- a/internal/controller/updates.go
+++ b/internal/controller/updates.go
@@ -38,7 +38,7 @@
 		return
 	}
 	first := c.asOf.IsZero()
-	restored := !c.asOf.IsZero() && c.asOf.Era != update.AsOf.Era
+	restored := !first && c.asOf.Era != update.AsOf.Era
 	c.observeEra(update.AsOf.Era)
 	c.asOf = update.AsOf
 	c.broadcasts.fullUpdate = nil
--- a/internal/controller/witnesses.go
+++ b/internal/controller/witnesses.go
@@ -69,7 +69,7 @@
 		return
 	}
 	witnesses := c.witnesses[service]
-	if 2*(len(witnesses)+1) <= c.gateways.value(c.Clock()) {
+	if !c.areMostGateways(len(witnesses)) {
 		return
 	}
 	for _, token := range witnesses {
--- a/internal/kv/memory.go
+++ b/internal/kv/memory.go
@@ -172,10 +172,15 @@
 	defer m.mu.Unlock()
 	id := m.nextLease
 	m.nextLease++
-	m.leases[id] = &memoryLease{ttl: ttl, timer: time.AfterFunc(ttl, func() { m.removeLease(id) })}
+	m.addLease(id, ttl)
 	return id, nil
 }
 
+// addLease adds a lease that begins now. The caller must hold mu.
+func (m *MemoryStore) addLease(id LeaseID, ttl time.Duration) {
+	m.leases[id] = &memoryLease{ttl: ttl, timer: time.AfterFunc(ttl, func() { m.removeLease(id) })}
+}
+
 // RenewLease implements Store.
 func (m *MemoryStore) RenewLease(ctx context.Context, id LeaseID) (Era, error) {
 	if err := ctx.Err(); err != nil {
--- a/internal/kv/memorycopy.go
+++ b/internal/kv/memorycopy.go
@@ -72,7 +72,7 @@
 			lease.timer.Reset(ttl)
 			continue
 		}
-		m.leases[id] = &memoryLease{ttl: ttl, timer: time.AfterFunc(ttl, func() { m.removeLease(id) })}
+		m.addLease(id, ttl)
 	}
 }
 
--- a/internal/kv/revision.go
+++ b/internal/kv/revision.go
@@ -7,7 +7,7 @@
 type Era uint64
 
 // Revision is the position of a change in one history of the store. The zero value precedes the first change. Numbers of
-// different eras must not be compared, so a Revision has no order of its own.
+// different eras must not be compared, so revisions are ordered by Before, and operators do not apply to them.
 type Revision struct {
 	Era    Era
 	Number int64
