--- a/review/standin/stopqueue.go
+++ b/review/standin/stopqueue.go
@@ -22,7 +22,7 @@
 	const (
 		feeDeadline = 12 * time.Second
 		feeWork     = 770 * time.Millisecond
-		feeClients  = 84
+		feeClients  = 150
 		grace       = 6 * time.Second
 		lossSlack   = 200 * time.Millisecond
 	)
@@ -33,7 +33,7 @@
 			return false, err
 		}
 	}
-	if err := w.startGateways(3); err != nil {
+	if err := w.startGateways(6); err != nil {
 		return false, err
 	}
 	time.Sleep(5 * time.Second)
