review: case 5, a late report puts a leaving upstream back into service (DRAIN)

Cause: directory.Put takes an entry of the same life with a lower seq. Shown: requests reach an upstream 4.7 s after its draining was acknowledged, drainMs is 2 s; some end with its exit.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,6 +3,6 @@
 # could not run. The record is in record.txt, the logs of the gateways are in log-*.txt.
 cd "$(dirname "$0")/../.." || exit 2
 test -x target/plank-entry && test -x review/out/standin || { echo "build target/plank-entry and review/build.sh first"; exit 2; }
-rm -f review/4/record.txt review/4/log-*.txt
+rm -f review/5/record.txt review/5/log-*.txt
 test "${TROUBLE:-1}" = 0 && trouble=false || trouble=true
-exec review/out/standin --root . --record review/4/record.txt --case late-entry-hang --trouble=$trouble
+exec review/out/standin --root . --record review/5/record.txt --case late-ready --trouble=$trouble
