--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,4 +5,4 @@
 test -x target/plank-entry && test -x review/out/standin || { echo "build target/plank-entry and review/build.sh first"; exit 2; }
 rm -f review/4/record.txt review/4/log-*.txt
 test "${TROUBLE:-1}" = 0 && trouble=false || trouble=true
-exec review/out/standin --root . --record review/4/record.txt --case late-entry-hang --trouble=$trouble
+exec review/out/standin --root . --record review/4/record.txt --case stop-queue --trouble=$trouble
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,7 +25,7 @@
 	"late-entry-owner": lateEntryOwner,
 	"late-entry-hang":  lateEntryHang,
 	"extra-refusal":    extraRefusal,
-	"late-ready":       lateReady,
+	"stop-pipeline":    stopPipeline,
 	"stop-queue":       stopQueue,
 }
 
--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -32,8 +32,10 @@
 	slots       int
 	sharded     bool
 	work        time.Duration
-	born        int64
-	addr        string
+	// workOf is the work of a request by its path; if nil, it is work.
+	workOf func(path string) time.Duration
+	born   int64
+	addr   string
 	// answers decides about each answer; nil stands for a sound upstream.
 	answers  func(request, life string) answerKind
 	listener net.Listener
@@ -51,9 +53,6 @@
 	fences  [platform.KeyCount]uint64
 	running map[int]int
 	idle    *sync.Cond
-	// reachedLate counts the requests that arrived after drainedAt, if that is set.
-	drainedAt   time.Time
-	reachedLate int
 }
 
 // hold is a range of keys that an upstream holds.
@@ -251,12 +250,6 @@
 		u.world.record.add("%s refuses %s: meant for %s", u.id, id, want)
 		return u.refuse(http.StatusMisdirectedRequest, id), nil
 	}
-	u.mu.Lock()
-	if !u.drainedAt.IsZero() && time.Now().After(u.drainedAt) {
-		u.reachedLate++
-		u.world.record.add("DRAIN: %s reaches %s %v after drainMs", id, u.id, time.Since(u.drainedAt).Round(time.Millisecond))
-	}
-	u.mu.Unlock()
 	kind := runIt
 	if u.answers != nil {
 		kind = u.answers(id, u.id)
@@ -287,8 +280,13 @@
 		u.world.record.add("%s refuses %s: does not hold key %d", u.id, id, key)
 		return u.refuse(http.StatusMisdirectedRequest, id), nil
 	}
-	time.Sleep(u.work)
+	work := u.work
+	if u.workOf != nil {
+		work = u.workOf(r.URL.Path)
+	}
+	time.Sleep(work)
 	u.end(key)
+	u.world.hasRun(u.id, id)
 	answer = u.encode(http.StatusOK, "answer to "+id, platform.HeaderRequestID, id, platform.HeaderSignature, "seal."+id,
 		platform.HeaderLoad, fmt.Sprintf("%d,%d,%d", len(u.slot), max(0, len(u.places)-u.slots), u.slots))
 	if kind == runTwice {
--- a/review/standin/watch.go
+++ b/review/standin/watch.go
@@ -15,6 +15,22 @@
 	w.record.add("%s runs %s (run %d)", upstream, request, w.runs[request])
 }
 
+// hasRun notes that the run of a request has ended well.
+func (w *world) hasRun(upstream, request string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ends[request] = time.Now()
+	w.record.add("%s has run %s", upstream, request)
+}
+
+// endedBefore reports whether a run of a request had ended well at a time.
+func (w *world) endedBefore(request string, at time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	end, ended := w.ends[request]
+	return ended && end.Before(at)
+}
+
 // runsOf returns how often a request has run.
 func (w *world) runsOf(request string) int {
 	w.mu.Lock()
