dispatch: refuse queued requests that a stop would cut off

Cause: the dispatcher keeps a queued request while its own deadline can be met and did not know the end of the process.

Change: the dispatcher learns the end of the process when a stop begins. A request, queued, new or sent again, is refused (reason "gateway stops") once the time left is below its expected wait and twice its expected run time; queued ones are checked at once, in the order in which they would be served.

--- a/internal/dispatch/acquire_request.go
+++ b/internal/dispatch/acquire_request.go
@@ -40,6 +40,7 @@
 	ReasonSuspended  Reason = "owner suspended"
 	ReasonFull       Reason = "servers full"
 	ReasonLimited    Reason = "servers limit requests"
+	ReasonStopping   Reason = "gateway stops"
 	ReasonClientLeft Reason = "caller left"
 )
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -52,6 +52,9 @@
 	services            map[string]*service
 	servers             map[directory.Incarnation]*server
 	queueCheckScheduled bool
+	// stopping is set once the process is about to end, at endsAt.
+	stopping bool
+	endsAt   time.Duration
 }
 
 // New returns a dispatcher without backend servers.
@@ -90,6 +93,11 @@
 	err         error
 }
 
+// refuse ends the wait of a request without a server.
+func (w *waiter) refuse(reason Reason, wait time.Duration) {
+	w.result <- waitResult{err: &Refusal{Reason: reason, Wait: wait}}
+}
+
 // Update applies a new snapshot of services and backend servers. Snapshots share the server list of a service
 // while it is unchanged, so a list is processed only if it is a different slice.
 func (d *Dispatcher) Update(view *snapshot.Snapshot) {
@@ -216,6 +224,9 @@
 	ahead := s.countAhead(request, now)
 	c := s.choose(request, now, ahead)
 	c.countDemand()
+	if !d.fitsBeforeStop(c, now) {
+		return nil, nil, &Refusal{Reason: ReasonStopping}
+	}
 	if c.server != nil && ahead == 0 {
 		return nil, d.reserve(s, c, now), nil
 	}
@@ -288,8 +299,8 @@
 	}
 }
 
-// placeServiceQueue places or rejects queued requests of one service and returns those that remain queued.
-func (d *Dispatcher) placeServiceQueue(s *service, now time.Duration) []*waiter {
+// sortQueue sorts the queued requests of a service in the order in which they are served.
+func (s *service) sortQueue(now time.Duration) {
 	runTime := s.meanRunTime(s.queue[0].request)
 	slices.SortStableFunc(s.queue, func(a, b *waiter) int {
 		switch {
@@ -300,16 +311,23 @@
 		}
 		return 0
 	})
+}
+
+// placeServiceQueue places or rejects queued requests of one service and returns those that remain queued.
+func (d *Dispatcher) placeServiceQueue(s *service, now time.Duration) []*waiter {
+	s.sortQueue(now)
 	noRoom := make(noRoomCache)
 	remaining := s.queue[:0]
 	for _, w := range s.queue {
 		c := noRoom.choose(s, w.request, now)
 		switch {
+		case !d.fitsBeforeStop(c, now):
+			w.refuse(ReasonStopping, 0)
 		case c.server != nil:
 			w.result <- waitResult{reservation: d.reserve(s, c, now)}
 		case admission.CannotMeetDeadline(w.request.Request, now, c.runTime) ||
 			!admission.ShouldQueue(w.request.Request, now, c.wait, c.runTime):
-			w.result <- waitResult{err: &Refusal{Reason: c.reason, Wait: c.wait}}
+			w.refuse(c.reason, c.wait)
 		default:
 			remaining = append(remaining, w)
 		}
--- a/internal/entrynode/stop.go
+++ b/internal/entrynode/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -15,6 +17,9 @@
 	// abortReadsMargin is how long before the end of the grace period requests that have not arrived completely are
 	// rejected.
 	abortReadsMargin = 200 * time.Millisecond
+	// lastResponseMargin is how long before the end of the grace period the last request that was queued is expected to be
+	// answered.
+	lastResponseMargin = 100 * time.Millisecond
 	// exitMargin is the part of the grace period that is reserved for the exit of the process.
 	exitMargin = 300 * time.Millisecond
 	// stopPollInterval is how often a stopping process checks for outstanding requests and open connections.
@@ -37,15 +42,16 @@
 	}
 }
 
-// shutdown shuts the process down gracefully: running requests finish, client connections are closed after their next
+// shutdown shuts the process down gracefully: running requests finish, queued ones that cannot are refused, client connections are closed after their next
 // response, and idle connections are closed once the load balancer sends no new ones. The elected gateway stays until
 // it has resigned, at most until the end of the grace period.
 func (n *Node) shutdown() {
 	started := time.Now()
 	n.stopping.Store(true)
-	n.log.WithField("requests", n.server.InFlight()).Info("stopping")
+	n.logOutstanding("stopping")
 	n.server.Drain()
 	end := started.Add(n.settings.Load().StopGrace - exitMargin)
+	n.dispatcher.Stop(n.clock() + time.Until(end) - lastResponseMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	resigned := make(chan struct{})
@@ -74,5 +80,11 @@
 		// Connections that were accepted before this took effect are still served.
 		n.closeListener()
 	}
-	n.log.WithField("requests", n.server.InFlight()).Info("stopped")
+	n.logOutstanding("stopped")
+}
+
+// logOutstanding logs how many requests are not answered yet, and how many of these wait for a backend server. The others
+// are being forwarded, or wait for an earlier request of their connection.
+func (n *Node) logOutstanding(message string) {
+	n.log.WithFields(logrus.Fields{"requests": n.server.InFlight(), "queued": n.dispatcher.Queued()}).Info(message)
 }
