directory: order the entries of a server by start and sequence

Cause: each entry with another start time counted as that of a later incarnation, so the late one ended the incarnation that ran, and its keys were granted without a release. Sequence numbers were compared after a restore only.

Change: entries are ordered by start time, then by sequence number; outdated ones are ignored and logged, in events and listings, also for 2 minutes after the removal of the server.

--- a/internal/controller/updates.go
+++ b/internal/controller/updates.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/sapphireplank/sapphireplank/internal/boottime"
 	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/election"
@@ -50,7 +52,7 @@
 	for _, item := range update.Items {
 		c.items[item.Key] = item
 		if server, ok := c.decodeServer(item); ok {
-			c.markRestarted(server)
+			c.observeServer(server)
 			servers = append(servers, server)
 			continue
 		}
@@ -149,14 +151,22 @@
 		c.directory.Remove(c.Clock(), id)
 		return
 	}
-	c.markRestarted(server)
+	c.observeServer(server)
 	c.directory.Put(c.Clock(), c.completeAt, server)
 }
 
-// markRestarted tells the assigners of a backend server that runs as another incarnation than the known one. Assigners
-// whose table is still being loaded need not know, because they treat the owners in it as running.
-func (c *Controller) markRestarted(server directory.Server) {
+// observeServer tells the assigners of a backend server that runs as another incarnation than the known one, unless the
+// entry is outdated. Assigners whose table is still being loaded need not know, because they treat the owners in it as
+// running.
+func (c *Controller) observeServer(server directory.Server) {
 	previous, known := c.directory.Lookup(server.ID)
+	if c.directory.IsOutdated(c.Clock(), server) {
+		c.Log.WithFields(logrus.Fields{
+			"server": server.ID, "started_ms": server.StartedAtMs, "sequence": server.Sequence, "draining": server.Draining,
+			"known_started_ms": previous.StartedAtMs, "known_sequence": previous.Sequence,
+		}).Info("entry of a backend server is older than what is known; ignored")
+		return
+	}
 	if !known || previous.StartedAtMs == server.StartedAtMs {
 		return
 	}
--- a/internal/controller/updates_test.go
+++ b/internal/controller/updates_test.go
@@ -9,6 +9,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/kv"
 	"github.com/sapphireplank/sapphireplank/internal/logging"
 	"github.com/sapphireplank/sapphireplank/internal/mirror"
+	"github.com/sapphireplank/sapphireplank/internal/ownership"
 	"github.com/sapphireplank/sapphireplank/internal/relay"
 	"github.com/sapphireplank/sapphireplank/internal/wire"
 )
@@ -64,3 +65,38 @@
 	c.handleRelayMessage(0, &wire.RelayDown{AsOf: 2, LagMs: 500, Items: []*wire.RelayItem{relay.EncodeEvent(event(at(2)))}})
 	check(c, 2500*time.Millisecond)
 }
+
+// Guards against a late write of an earlier incarnation of a backend server that ends the one that runs: its keys would be
+// granted to others while it holds them.
+func TestLateEntryOfEarlierIncarnation(t *testing.T) {
+	entry := func(startedAtMs int64, addr string) kv.Event {
+		value, err := json.Marshal(directory.Server{ID: "a", StartedAtMs: startedAtMs, Sequence: 1, Service: "s", Addr: addr})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return kv.Event{Item: kv.Item{Key: "servers/a", Value: value}}
+	}
+	late := entry(10, "1")
+	arrive := map[string]func(c *Controller){
+		"event": func(c *Controller) { c.applyServerEvent("a", late) },
+		"listing": func(c *Controller) {
+			c.applyListing(mirror.Update{Full: true, AsOf: at(9), Items: []kv.Item{late.Item}})
+		},
+	}
+	for way, apply := range arrive {
+		t.Run(way, func(t *testing.T) {
+			c := New(Options{Entries: testEntryDecoder{}, Clock: func() time.Duration { return time.Minute }, Log: logging.Discard().Component("control")})
+			assigner := ownership.NewAssigner(ownership.Settings{Keys: testKeys}, 0)
+			c.assigners["s"] = &assignment{assigner: assigner}
+			c.applyServerEvent("a", late)
+			c.applyServerEvent("a", entry(20, "2"))
+			apply(c)
+			if server, _ := c.directory.Lookup("a"); server.StartedAtMs != 20 {
+				t.Errorf("incarnation %d in the directory, want 20", server.StartedAtMs)
+			}
+			if assigner.HasTerminated(ownership.Holder{ID: "a", StartedAtMs: 20, Addr: "2"}) {
+				t.Error("the incarnation that runs counts as terminated")
+			}
+		})
+	}
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -9,8 +9,8 @@
 	// removalGrace is how long after a store outage an entry is kept although it was removed from the store. Running
 	// servers register again within this time; a server that is still missing afterwards has stopped.
 	removalGrace = 2100 * time.Millisecond
-	// removedRetention is how long a removed incarnation is remembered. It exceeds the age of the copies from which the
-	// store comes back.
+	// removedRetention is how long a removed entry is remembered. It exceeds the age of the copies from which the store
+	// comes back, and the time after which the store may still carry out a write.
 	removedRetention = 2 * time.Minute
 	// restoredGrace is how long after a restore outdated entries are expected. They expire, because nobody renews them.
 	restoredGrace = 10 * time.Second
@@ -19,20 +19,19 @@
 // Directory is the set of registered backend servers. All times are monotonic times since the start of the process.
 type Directory struct {
 	entries map[string]*entry
-	// removed are the incarnations that were removed, for removedRetention. The copy from which the store comes back may
-	// still contain them.
-	removed map[Incarnation]removal
+	// removed are the last entries of servers that were removed, for removedRetention.
+	removed map[string]removal
 	// lastStoreOutage is the time of the last failed store call. It is negative before the first failure.
 	lastStoreOutage time.Duration
 	// restoredUntil is the time until which the store may still contain entries of an earlier copy that are outdated.
 	restoredUntil time.Duration
 }
 
-// removal is the removal of an incarnation.
+// removal is the removal of a server.
 type removal struct {
 	at time.Duration
-	// sequence is that of the last known entry.
-	sequence uint64
+	// server is its last entry.
+	server Server
 }
 
 // entry is one server with the end of its warm-up and, if its removal is pending, the time of the removal.
@@ -58,7 +57,7 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{entries: make(map[string]*entry), removed: make(map[Incarnation]removal), lastStoreOutage: -removalGrace}
+	return &Directory{entries: make(map[string]*entry), removed: make(map[string]removal), lastStoreOutage: -removalGrace}
 }
 
 // RecordStoreOutage records that a store call failed.
@@ -70,9 +69,12 @@
 	d.restoredUntil = now + restoredGrace
 }
 
-// Put adds or replaces the entry of a server. The change was made since a point in time at which the directory was known
-// to be complete; it may have been learned late.
+// Put adds or replaces the entry of a server, unless it is outdated. The change was made since a point in time at which the
+// directory was known to be complete; it may have been learned late.
 func (d *Directory) Put(now, since time.Duration, server Server) {
+	if d.IsOutdated(now, server) {
+		return
+	}
 	e := &entry{server: server, warmupUntil: now + server.WarmupLeft, drainingSince: since}
 	if last, ok := d.entries[server.ID]; ok && last.server.Draining && last.server.Incarnation() == server.Incarnation() {
 		e.drainingSince = last.drainingSince
@@ -95,29 +97,19 @@
 	e.removeAt = d.lastStoreOutage + removalGrace
 }
 
-// delete removes an entry and remembers its incarnation.
+// delete removes an entry and remembers it.
 func (d *Directory) delete(now time.Duration, id string, e *entry) {
 	delete(d.entries, id)
-	d.removed[e.server.Incarnation()] = removal{at: now, sequence: e.server.Sequence}
-}
-
-// isOutdated reports whether the entry of a server in a restored store is older than what is known of its incarnation.
-func (d *Directory) isOutdated(server Server) bool {
-	if e, ok := d.entries[server.ID]; ok && e.server.Incarnation() == server.Incarnation() {
-		return server.Sequence < e.server.Sequence
-	}
-	removed, ok := d.removed[server.Incarnation()]
-	return ok && server.Sequence <= removed.sequence
+	d.removed[id] = removal{at: now, server: e.server}
 }
 
 // Replace sets the contents of the directory to a complete listing of the store. Like those of Put, the changes were made
-// since a point in time. After a restore, entries that are older than the known ones are ignored: a server that has left does
-// not write its entry again.
+// since a point in time. Outdated entries are ignored.
 func (d *Directory) Replace(now, since time.Duration, servers []Server) {
 	listed := make(map[string]bool, len(servers))
 	for _, server := range servers {
 		listed[server.ID] = true
-		if now < d.restoredUntil && d.isOutdated(server) {
+		if d.IsOutdated(now, server) {
 			continue
 		}
 		if e, ok := d.entries[server.ID]; ok && e.server.Incarnation() == server.Incarnation() {
@@ -146,7 +138,7 @@
 			changed = true
 		}
 	}
-	maps.DeleteFunc(d.removed, func(_ Incarnation, r removal) bool { return now-r.at > removedRetention })
+	maps.DeleteFunc(d.removed, func(_ string, r removal) bool { return now-r.at > removedRetention })
 	return changed
 }
 
