serverconn: send no request twice over one connection

Cause: responses are told apart by the id of the request, which all attempts of a request share, and the second attempt mostly went over the connection of the first. A server that sent its refusal a second time there answered the second attempt with it, and executed that attempt.

Evidence: on the untouched code, the log of a request of the case shows two attempts at one server, both ended as not-run with status 503; the server had executed one of them.

Change: a response names its connection, and further attempts of its request use other ones. No bytes of an earlier attempt can reach them.

--- a/internal/entry/forwarder.go
+++ b/internal/entry/forwarder.go
@@ -47,6 +47,8 @@
 	unsent int
 	// mayHaveExecuted is set once a backend server may have executed the request.
 	mayHaveExecuted bool
+	// usedConns are the connections over which earlier attempts got a response.
+	usedConns []serverconn.ConnID
 	// last is the response to the last attempt. It is nil if there was none.
 	last *serverconn.Response
 	// lastResult is the result of the last attempt.
@@ -138,6 +140,7 @@
 		Body:       f.request.body,
 		AtMostOnce: !f.route.Idempotent,
 		Memory:     f.request.memory,
+		Used:       f.usedConns,
 	}
 	if f.request.rest != nil {
 		request.Rest, request.Length = f.request.rest, r.ContentLength
@@ -154,6 +157,7 @@
 	dispatchResult := dispatch.Result{NotSent: r == resultNotSent}
 	misdirected := false
 	if f.last != nil {
+		f.usedConns = append(f.usedConns, f.last.Conn)
 		metadata := f.last.Metadata
 		dispatchResult.Load, dispatchResult.HasLoad = metadata.Load, metadata.HasLoad
 		misdirected = f.last.Status == http.StatusMisdirectedRequest
--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,8 +35,15 @@
 	lateWriteTimeout = time.Second
 )
 
+// ConnID identifies a connection to a backend server during the life of the process.
+type ConnID uint64
+
+// lastConnID is the ID of the latest connection.
+var lastConnID atomic.Uint64
+
 // conn is a connection to a backend server. It carries one request at a time.
 type conn struct {
+	id       ConnID
 	tcp      *net.TCPConn
 	limited  *io.LimitedReader
 	reader   *bufio.Reader
@@ -56,6 +64,7 @@
 func newConn(tcp *net.TCPConn, headers exchange.Headers, settings Settings) *conn {
 	limited := &io.LimitedReader{R: tcp}
 	return &conn{
+		id:        ConnID(lastConnID.Add(1)),
 		tcp:       tcp,
 		limited:   limited,
 		reader:    bufio.NewReaderSize(limited, readBufferBytes),
@@ -236,6 +245,7 @@
 		Header:   httpResponse.Header,
 		Body:     body,
 		Metadata: c.headers.ParseResponse(httpResponse.StatusCode, httpResponse.Header),
+		Conn:     c.id,
 	}
 	return response, !httpResponse.Close, nil
 }
--- a/internal/serverconn/pool.go
+++ b/internal/serverconn/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,7 +52,7 @@
 		return nil, errors.WithSecondaryError(ErrNotSent, err)
 	}
 	for {
-		c, err := p.acquire(ctx, request.AtMostOnce)
+		c, err := p.acquire(ctx, request)
 		if err != nil {
 			return nil, err
 		}
@@ -69,9 +70,9 @@
 }
 
 // acquire returns an idle connection, or a new one if there is none.
-func (p *Pool) acquire(ctx context.Context, atMostOnce bool) (*conn, error) {
+func (p *Pool) acquire(ctx context.Context, request *Request) (*conn, error) {
 	for {
-		c := p.popIdle(atMostOnce)
+		c := p.popIdle(request)
 		if c == nil {
 			return p.dial(ctx)
 		}
@@ -83,24 +84,32 @@
 	}
 }
 
-// popIdle removes and returns the most recently used idle connection. It returns nil if that connection has been idle
-// for too long.
-func (p *Pool) popIdle(atMostOnce bool) *conn {
+// popIdle removes and returns the most recently used idle connection that the request may use. It returns nil if there is
+// none, or if that connection has been idle for too long.
+func (p *Pool) popIdle(request *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) == 0 {
-		return nil
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if slices.Contains(request.Used, c.id) {
+			continue
+		}
+		if time.Since(c.lastUsed) > p.maxIdle(c, request) {
+			return nil
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
+		return c
 	}
-	c := p.idle[len(p.idle)-1]
+	return nil
+}
+
+// maxIdle returns the idle time after which a connection is not used for a request.
+func (p *Pool) maxIdle(c *conn, request *Request) time.Duration {
 	limit := min(p.settings.MaxIdle, c.keepAlive)
-	if atMostOnce {
+	if request.AtMostOnce {
 		limit = min(limit, p.settings.MaxIdleAtMostOnce)
 	}
-	if time.Since(c.lastUsed) > limit {
-		return nil
-	}
-	p.idle = p.idle[:len(p.idle)-1]
-	return c
+	return limit
 }
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
--- a/internal/serverconn/pool_test.go
+++ b/internal/serverconn/pool_test.go
@@ -302,3 +302,26 @@
 		t.Fatalf("%d connections are still idle in the pool after their idle limit", len(pool.idle))
 	}
 }
+
+// Guards against sending a request again over a connection over which it was answered before, and against not reusing
+// that connection for other requests.
+func TestRequestAvoidsUsedConnection(t *testing.T) {
+	pool, _ := startServer(t, replyAll(okResponse))
+	send := func(used ...ConnID) ConnID {
+		t.Helper()
+		request := &Request{ID: "a", Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{"Id": {"a"}}, AtMostOnce: true, Used: used}
+		response, err := pool.Do(t.Context(), request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return response.Conn
+	}
+	first := send()
+	second := send(first)
+	if third := send(first, second); third == first || second == first || third == second {
+		t.Errorf("connections %d, %d, %d were used", first, second, third)
+	}
+	if send(); pool.Opened() != 3 {
+		t.Errorf("%d connections opened, want 3", pool.Opened())
+	}
+}
--- a/internal/serverconn/request.go
+++ b/internal/serverconn/request.go
@@ -26,6 +26,9 @@
 	Length int64
 	// Memory accounts for the body of the response.
 	Memory *bytebudget.Account
+	// Used are the connections over which earlier attempts of the request got a response. It is not sent over these again:
+	// the backend server may send such a response a second time, and it could not be told from that to the new attempt.
+	Used []ConnID
 	// AtMostOnce marks a request that must be executed at most once. It is sent only over a new or recently used
 	// connection.
 	AtMostOnce bool
@@ -37,6 +40,8 @@
 	Header   http.Header
 	Body     []byte
 	Metadata exchange.ResponseMetadata
+	// Conn is the connection over which the response came.
+	Conn ConnID
 }
 
 // encode returns the request in its HTTP/1.1 wire format.
