ownership: a successor of an incarnation has started later

Cause: the late entry made an incarnation the successor of its own successor, and Assigner.receiver followed the two in a circle.

Change: MarkRestarted ignores a successor that has not started later, so following successors always ends.

--- a/internal/ownership/assigner.go
+++ b/internal/ownership/assigner.go
@@ -20,7 +20,8 @@
 	// terminated holds the incarnations of backend servers that are known to have terminated.
 	terminated map[incarnation]bool
 	// successors holds the incarnation that runs at the address of a terminated one. It receives the orders that were
-	// sent to its predecessor but had not arrived, and accepts them, because it has seen no fencing token.
+	// sent to its predecessor but had not arrived, and accepts them, because it has seen no fencing token. A successor has
+	// always started later.
 	successors map[incarnation]Holder
 }
 
@@ -101,11 +102,15 @@
 }
 
 // MarkRestarted records that a backend server has terminated and runs again as another incarnation. If the new one has
-// the same address, it may hold the keys of grants that were sent to the old one, and has to release them.
+// the same address, it may hold the keys of grants that were sent to the old one, and has to release them. An incarnation that
+// has not started later is no successor; what says so is late, and is ignored.
 //
 // The new incarnation has not seen the tokens of this assigner. That is safe, because an earlier assigner sends no
 // grants over connections made after its term, and none made before reaches the new incarnation.
 func (a *Assigner) MarkRestarted(holder, successor Holder) {
+	if successor.StartedAtMs <= holder.StartedAtMs {
+		return
+	}
 	if holder.Addr != successor.Addr {
 		a.MarkTerminated(holder)
 		return
