directory: accept an outdated entry that stays in the store

Cause: since entries are ordered, one odd entry with a late start or a high sequence number, written by another writer, would have hidden the reports of the real server for good; so would a clock that goes back between two starts.

Change: an ignored entry is remembered; if the store contains it for 30 s of contact, it is accepted. A late write is replaced by the next report of its server, or expires, within seconds.

Measured: TestOutdatedEntryThatStays, whose case "stays" can't pass without it; directory and controller tests pass.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -206,7 +206,7 @@
 // handleTick expires servers, chooses the source of updates, and advances the election and, if elected, the assigners.
 func (c *Controller) handleTick(ctx context.Context) {
 	now := boottime.Now()
-	if c.directory.Expire(c.Clock()) {
+	if c.directory.Expire(c.Clock(), c.completeAt) {
 		c.dirty = true
 		c.serversVersion++
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -21,6 +21,8 @@
 	entries map[string]*entry
 	// removed are the last entries of servers that were removed, for removedRetention.
 	removed map[string]removal
+	// outdated are the entries that the store contains and that were ignored.
+	outdated map[string]outdatedEntry
 	// lastStoreOutage is the time of the last failed store call. It is negative before the first failure.
 	lastStoreOutage time.Duration
 	// restoredUntil is the time until which the store may still contain entries of an earlier copy that are outdated.
@@ -57,7 +59,10 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{entries: make(map[string]*entry), removed: make(map[string]removal), lastStoreOutage: -removalGrace}
+	return &Directory{
+		entries: make(map[string]*entry), removed: make(map[string]removal), outdated: make(map[string]outdatedEntry),
+		lastStoreOutage: -removalGrace,
+	}
 }
 
 // RecordStoreOutage records that a store call failed.
@@ -73,8 +78,10 @@
 // directory was known to be complete; it may have been learned late.
 func (d *Directory) Put(now, since time.Duration, server Server) {
 	if d.IsOutdated(now, server) {
+		d.ignore(now, server)
 		return
 	}
+	delete(d.outdated, server.ID)
 	e := &entry{server: server, warmupUntil: now + server.WarmupLeft, drainingSince: since}
 	if last, ok := d.entries[server.ID]; ok && last.server.Draining && last.server.Incarnation() == server.Incarnation() {
 		e.drainingSince = last.drainingSince
@@ -85,6 +92,7 @@
 // Remove removes an entry. Shortly after a store outage the removal is delayed by a grace period, because the server
 // may still be running and only have been unable to renew its entry.
 func (d *Directory) Remove(now time.Duration, id string) {
+	delete(d.outdated, id)
 	e, ok := d.entries[id]
 	if !ok {
 		return
@@ -110,8 +118,10 @@
 	for _, server := range servers {
 		listed[server.ID] = true
 		if d.IsOutdated(now, server) {
+			d.ignore(now, server)
 			continue
 		}
+		delete(d.outdated, server.ID)
 		if e, ok := d.entries[server.ID]; ok && e.server.Incarnation() == server.Incarnation() {
 			wasDraining := e.server.Draining
 			e.server, e.removalPending = server, false
@@ -127,11 +137,13 @@
 			d.Remove(now, id)
 		}
 	}
+	maps.DeleteFunc(d.outdated, func(id string, _ outdatedEntry) bool { return !listed[id] })
 }
 
-// Expire removes the entries whose grace period has ended, and reports whether there were any.
-func (d *Directory) Expire(now time.Duration) bool {
-	changed := false
+// Expire removes the entries whose grace period has ended, and accepts outdated ones that stay in the store. It reports
+// whether there were any. completeAt is when the directory was last known to be complete.
+func (d *Directory) Expire(now, completeAt time.Duration) bool {
+	changed := d.acceptPersistent(now, completeAt)
 	for id, e := range d.entries {
 		if e.removalPending && now >= e.removeAt {
 			d.delete(now, id, e)
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -38,11 +38,11 @@
 			if kept := ids(d)["a"]; kept != (c.keptUntil > c.removedAt) {
 				t.Fatalf("entry kept immediately after its removal: %v", kept)
 			}
-			d.Expire(c.keptUntil - 1)
+			d.Expire(c.keptUntil - 1, 0)
 			if c.keptUntil > c.removedAt && !ids(d)["a"] {
 				t.Fatalf("entry dropped before %v", c.keptUntil)
 			}
-			d.Expire(c.keptUntil)
+			d.Expire(c.keptUntil, 0)
 			if ids(d)["a"] {
 				t.Fatalf("entry still present at %v", c.keptUntil)
 			}
@@ -57,7 +57,7 @@
 	d.RecordStoreOutage(time.Second)
 	d.Replace(time.Second, 0, nil)
 	d.Replace(2*time.Second, time.Second, []Server{{ID: "a"}})
-	d.Expire(time.Minute)
+	d.Expire(time.Minute, 0)
 	if !ids(d)["a"] {
 		t.Fatal("server was dropped although it registered again")
 	}
--- a/internal/directory/order.go
+++ b/internal/directory/order.go
@@ -5,6 +5,16 @@
 // The store may carry out a write seconds after its call, and may come back from an earlier copy. So an entry can be older
 // than the one that it replaces: entries of one server are ordered by the start of the incarnation, then by sequence number.
 
+// outdatedPeriod is how long the store has to contain an outdated entry until it is taken for the entry of a running server.
+// A late write is replaced by the next report of the server, or expires, within seconds.
+const outdatedPeriod = 30 * time.Second
+
+// outdatedEntry is an entry that was ignored, and that the store contained since a point in time.
+type outdatedEntry struct {
+	server Server
+	since  time.Duration
+}
+
 // precedes reports whether an entry was written before another one of the same server.
 func (s Server) precedes(other Server) bool {
 	if s.StartedAtMs != other.StartedAtMs {
@@ -27,3 +37,30 @@
 	removed, ok := d.removed[server.ID]
 	return ok && !removed.server.precedes(server)
 }
+
+// ignore records that the store contains an outdated entry.
+func (d *Directory) ignore(now time.Duration, server Server) {
+	ignored, known := d.outdated[server.ID]
+	if !known {
+		ignored.since = now
+	}
+	ignored.server = server
+	d.outdated[server.ID] = ignored
+}
+
+// acceptPersistent accepts the outdated entries that the store has contained for outdatedPeriod, and reports whether there
+// were any. The known entry was then odd, or the clock of the server has gone back between two starts. completeAt is when the
+// directory was last known to be complete.
+func (d *Directory) acceptPersistent(now, completeAt time.Duration) bool {
+	accepted := false
+	for id, ignored := range d.outdated {
+		if completeAt-ignored.since < outdatedPeriod {
+			continue
+		}
+		delete(d.entries, id)
+		delete(d.removed, id)
+		d.Put(now, completeAt, ignored.server)
+		accepted = true
+	}
+	return accepted
+}
--- a/internal/directory/order_test.go
+++ b/internal/directory/order_test.go
@@ -63,9 +63,48 @@
 	late := Server{ID: "a", StartedAtMs: 10, Sequence: 4}
 	d.Put(0, 0, late)
 	d.Remove(time.Second, "a")
-	d.Expire(time.Second + removedRetention + 1)
+	d.Expire(time.Second+removedRetention+1, 0)
 	d.Put(2*removedRetention, 0, late)
 	if !ids(d)["a"] {
 		t.Fatal("removed entry still ignored after the retention time")
 	}
 }
+
+// Guards against a server that is never used again because the known entry is odd, or because its clock has gone back, and
+// against taking a late write for its entry.
+func TestOutdatedEntryThatStays(t *testing.T) {
+	odd := Server{ID: "a", StartedAtMs: 20, Sequence: 1 << 60, Addr: "odd"}
+	real := Server{ID: "a", StartedAtMs: 20, Sequence: 5, Addr: "real"}
+	const seen = time.Second
+	cases := []struct {
+		name    string
+		later   func(d *Directory)
+		at      time.Duration
+		contact time.Duration
+		want    string
+	}{
+		{"stays", func(*Directory) {}, seen + outdatedPeriod, seen + outdatedPeriod, "real"},
+		{"not long enough", func(*Directory) {}, seen + outdatedPeriod - 1, seen + outdatedPeriod - 1, "odd"},
+		{"no contact since", func(*Directory) {}, seen + 2*outdatedPeriod, seen + outdatedPeriod/2, "odd"},
+		{"removed from the store", func(d *Directory) { d.Remove(2*seen, "a") }, seen + outdatedPeriod, seen + outdatedPeriod, ""},
+		{"replaced in the store", func(d *Directory) {
+			next := odd
+			next.Sequence++
+			d.Put(2*seen, 2*seen, next)
+		}, seen + outdatedPeriod, seen + outdatedPeriod, "odd"},
+		{"replaced in a listing", func(d *Directory) { d.Replace(2*seen, 2*seen, []Server{odd}) }, seen + outdatedPeriod, seen + outdatedPeriod, "odd"},
+		{"gone from a listing", func(d *Directory) { d.Replace(2*seen, 2*seen, nil) }, seen + outdatedPeriod, seen + outdatedPeriod, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := New()
+			d.Put(0, 0, odd)
+			d.Put(seen, seen, real)
+			c.later(d)
+			d.Expire(c.at, c.contact)
+			if server, _ := d.Lookup("a"); server.Addr != c.want {
+				t.Fatalf("entry %q, want %q", server.Addr, c.want)
+			}
+		})
+	}
+}
