--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -38,7 +38,7 @@
 			if kept := ids(d)["a"]; kept != (c.keptUntil > c.removedAt) {
 				t.Fatalf("entry kept immediately after its removal: %v", kept)
 			}
-			d.Expire(c.keptUntil - 1, 0)
+			d.Expire(c.keptUntil-1, 0)
 			if c.keptUntil > c.removedAt && !ids(d)["a"] {
 				t.Fatalf("entry dropped before %v", c.keptUntil)
 			}
