serverstate, dispatch: heed servers that say that they leave

A backend server that leaves says so in its responses (new contract of the users, DRAIN). Nothing read it: with an entry that stays "ready", it got requests for good.

Change: package serverstate has one type for what a gateway knows of an incarnation (entry, own word, replaced, suspended) with one rule of precedence. The word of a server closes all ways to it on that gateway: first and repeated attempts, queued requests, and keys after the drain time. It outlasts the removal of the entry and ends with the next incarnation. Answers to grants and releases count too. Gateways report it to the elected one, whose directory then treats the server as draining, so its keys move. A service whose servers all leave refuses at once.

--- a/internal/controller/broadcast.go
+++ b/internal/controller/broadcast.go
@@ -120,6 +120,7 @@
 		HasLoad: true, Load: relay.EncodeLoads(c.DataPlane.Loads()), Works: relay.EncodeRunTimes(c.DataPlane.RunTimes()),
 	}
 	report.Keys, report.Refused = c.reports.drain()
+	c.markLeaving(c.Host, c.DataPlane.LeavingServers())
 	c.aggregator.Report(c.Host, ownSession, report)
 	c.applyReport(report)
 }
@@ -233,8 +234,9 @@
 	if report.KnowsLeaders {
 		c.enqueue(func() { c.learnPredecessors(report.Leaders) })
 	}
-	if len(report.Keys) > 0 || len(report.Refused) > 0 || len(report.Quotas) > 0 {
+	if len(report.Keys) > 0 || len(report.Refused) > 0 || len(report.Quotas) > 0 || len(report.Leaving) > 0 {
 		c.enqueue(func() {
+			c.markLeaving(session.Host, relay.DecodeLeaving(report.Leaving))
 			c.applyReport(report)
 			c.applyQuotaReports(session.Host, report.Quotas)
 		})
--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -200,6 +200,7 @@
 			if result.Err != nil {
 				c.logOrderFailure(service, result)
 			}
+			c.observeAnswer(result)
 			a.assigner.HandleResult(result)
 		})
 	}()
@@ -224,9 +225,9 @@
 	defer cancel()
 	result := ownership.Result{Order: order}
 	if order.Kind == ownership.OrderRelease {
-		result.Handover, result.Err = c.Orders.Release(ctx, order.Release)
+		result.Answer, result.Err = c.Orders.Release(ctx, order.Release)
 	} else {
-		result.Err = c.Orders.Grant(ctx, order.Grant)
+		result.Answer, result.Err = c.Orders.Grant(ctx, order.Grant)
 	}
 	result.At = boottime.Now()
 	c.Metrics.CountOrder(orderNames[order.Kind], result.Err)
--- a/internal/controller/calls_test.go
+++ b/internal/controller/calls_test.go
@@ -27,16 +27,16 @@
 	return o.addr == addr
 }
 
-func (o *reusedAddress) Grant(ctx context.Context, grant ownership.Grant) error {
+func (o *reusedAddress) Grant(ctx context.Context, grant ownership.Grant) (ownership.Answer, error) {
 	if o.rejects(grant.Server.Addr) {
-		return ownership.ErrRejected
+		return ownership.Answer{}, ownership.ErrRejected
 	}
 	return o.testOrders.Grant(ctx, grant)
 }
 
-func (o *reusedAddress) Release(ctx context.Context, release ownership.Release) (string, error) {
+func (o *reusedAddress) Release(ctx context.Context, release ownership.Release) (ownership.Answer, error) {
 	if o.rejects(release.Server.Addr) {
-		return "", ownership.ErrRejected
+		return ownership.Answer{}, ownership.ErrRejected
 	}
 	return o.testOrders.Release(ctx, release)
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -56,6 +56,8 @@
 	SetLoads(total map[uint32]int)
 	// SetRunTimes sets the run time of requests at each backend server, as measured by all gateways.
 	SetRunTimes(runTimes map[uint32]relay.RunTime)
+	// LeavingServers returns the backend servers that said in a response to this gateway that they leave, sorted.
+	LeavingServers() []directory.Incarnation
 	// QuotaReports returns what this gateway did with the rates of backend servers that limit them, since the last call.
 	QuotaReports() []quota.Report
 	// SetQuotas sets what the elected gateway allocates to this one of these rates.
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -62,7 +62,7 @@
 	until [testKeys]time.Time
 }
 
-func (o *testOrders) Grant(_ context.Context, grant ownership.Grant) error {
+func (o *testOrders) Grant(_ context.Context, grant ownership.Grant) (ownership.Answer, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for key := grant.Keys.First; key <= grant.Keys.Last; key++ {
@@ -71,10 +71,10 @@
 		}
 		o.owners[key], o.until[key] = grant.Server.ID, time.Now().Add(grant.Duration)
 	}
-	return nil
+	return ownership.Answer{}, nil
 }
 
-func (o *testOrders) Release(_ context.Context, release ownership.Release) (string, error) {
+func (o *testOrders) Release(_ context.Context, release ownership.Release) (ownership.Answer, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for key := release.Keys.First; key <= release.Keys.Last; key++ {
@@ -82,7 +82,7 @@
 			o.owners[key] = ""
 		}
 	}
-	return "state", nil
+	return ownership.Answer{Handover: "state"}, nil
 }
 
 // testDataPlane stores the latest snapshot.
@@ -103,6 +103,7 @@
 func (d *testDataPlane) RunTimes() map[uint32]relay.RunTime            { return nil }
 func (d *testDataPlane) SetLoads(map[uint32]int)                       {}
 func (d *testDataPlane) SetRunTimes(runTimes map[uint32]relay.RunTime) {}
+func (d *testDataPlane) LeavingServers() []directory.Incarnation       { return nil }
 func (d *testDataPlane) QuotaReports() []quota.Report                  { return nil }
 func (d *testDataPlane) SetQuotas([]quota.Grant)                       {}
 
--- a/internal/controller/resign_test.go
+++ b/internal/controller/resign_test.go
@@ -18,7 +18,7 @@
 	grants atomic.Int64
 }
 
-func (o *countingOrders) Grant(ctx context.Context, grant ownership.Grant) error {
+func (o *countingOrders) Grant(ctx context.Context, grant ownership.Grant) (ownership.Answer, error) {
 	o.grants.Add(1)
 	return o.testOrders.Grant(ctx, grant)
 }
--- a/internal/controller/source.go
+++ b/internal/controller/source.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
+	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/kv"
 	"github.com/sapphireplank/sapphireplank/internal/mirror"
 	"github.com/sapphireplank/sapphireplank/internal/relay"
@@ -250,6 +252,7 @@
 // there is nothing to report.
 func (c *Controller) reportCollector() func() *wire.RelayUp {
 	var last map[uint32]int
+	var lastLeaving []directory.Incarnation
 	var next, lastSent time.Duration
 	count := 0
 	return func() *wire.RelayUp {
@@ -269,8 +272,12 @@
 		if due {
 			report.Works = relay.EncodeRunTimes(c.DataPlane.RunTimes())
 		}
+		if leaving := c.DataPlane.LeavingServers(); due || !slices.Equal(leaving, lastLeaving) {
+			lastLeaving = leaving
+			report.Leaving = relay.EncodeLeaving(leaving)
+		}
 		count++
-		if len(report.Keys) == 0 && len(report.Refused) == 0 && len(report.Quotas) == 0 && !report.HasLoad && !due && now-lastSent < maxReportPause {
+		if len(report.Keys) == 0 && len(report.Refused) == 0 && len(report.Quotas) == 0 && len(report.Leaving) == 0 && !report.HasLoad && !due && now-lastSent < maxReportPause {
 			return nil
 		}
 		lastSent = now
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -21,6 +21,8 @@
 	entries map[string]*entry
 	// removed are the last entries of servers that were removed, for removedRetention.
 	removed map[string]removal
+	// leaving are the incarnations that said of themselves that they leave, with the time at which that was learned.
+	leaving map[Incarnation]time.Duration
 	// outdated are the entries that the store contains and that were ignored.
 	outdated map[string]outdatedEntry
 	// lastStoreOutage is the time of the last failed store call. It is negative before the first failure.
@@ -61,6 +63,7 @@
 func New() *Directory {
 	return &Directory{
 		entries: make(map[string]*entry), removed: make(map[string]removal), outdated: make(map[string]outdatedEntry),
+		leaving:         make(map[Incarnation]time.Duration),
 		lastStoreOutage: -removalGrace,
 	}
 }
@@ -150,6 +153,7 @@
 			changed = true
 		}
 	}
+	d.forgetLeaving(now)
 	maps.DeleteFunc(d.removed, func(_ string, r removal) bool { return now-r.at > removedRetention })
 	return changed
 }
@@ -160,18 +164,14 @@
 	if !ok {
 		return RegisteredServer{}, false
 	}
-	return e.registered(), true
-}
-
-func (e *entry) registered() RegisteredServer {
-	return RegisteredServer{Server: e.server, WarmupUntil: e.warmupUntil, DrainingSince: e.drainingSince}
+	return d.registered(e), true
 }
 
 // Servers returns the registered servers in no particular order.
 func (d *Directory) Servers() []RegisteredServer {
 	servers := make([]RegisteredServer, 0, len(d.entries))
 	for _, e := range d.entries {
-		servers = append(servers, e.registered())
+		servers = append(servers, d.registered(e))
 	}
 	return servers
 }
--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -1,7 +1,10 @@
 // Package directory tracks the backend servers that are registered in the store. It does no I/O and reads no clock.
 package directory
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Server is one incarnation of a backend server, as registered by the server itself.
 type Server struct {
@@ -28,5 +31,10 @@
 	StartedAtMs int64
 }
 
+// Compare orders incarnations by ID and start time.
+func (i Incarnation) Compare(other Incarnation) int {
+	return cmp.Or(cmp.Compare(i.ID, other.ID), cmp.Compare(i.StartedAtMs, other.StartedAtMs))
+}
+
 // Incarnation returns the incarnation that the entry describes.
 func (s Server) Incarnation() Incarnation { return Incarnation{ID: s.ID, StartedAtMs: s.StartedAtMs} }
--- a/internal/dispatch/acquire_request.go
+++ b/internal/dispatch/acquire_request.go
@@ -38,12 +38,16 @@
 	ReasonNoOwner    Reason = "no owner"
 	ReasonMoving     Reason = "key moves"
 	ReasonSuspended  Reason = "owner suspended"
+	ReasonLeaving    Reason = "servers leave"
 	ReasonFull       Reason = "servers full"
 	ReasonLimited    Reason = "servers limit requests"
 	ReasonStopping   Reason = "gateway stops"
 	ReasonClientLeft Reason = "caller left"
 )
 
+// mayWait reports whether a request that is not placed for this reason may be queued.
+func (r Reason) mayWait() bool { return r != ReasonLeaving }
+
 // Refusal is the error for a request to which no backend server was assigned.
 type Refusal struct {
 	Reason Reason
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -48,9 +48,11 @@
 	// mu protects the fields below.
 	mu sync.Mutex
 	// gateways is the number of gateways that share the limits of backend servers.
-	gateways            int
-	services            map[string]*service
-	servers             map[directory.Incarnation]*server
+	gateways int
+	services map[string]*service
+	servers  map[directory.Incarnation]*server
+	// notices are those of servers that are not listed.
+	notices             map[directory.Incarnation]keptNotice
 	queueCheckScheduled bool
 	// stopping is set once the process is about to end, at endsAt.
 	stopping bool
@@ -68,6 +70,7 @@
 		metrics:  options.Metrics,
 		services: make(map[string]*service),
 		servers:  make(map[directory.Incarnation]*server),
+		notices:  make(map[directory.Incarnation]keptNotice),
 	}
 }
 
@@ -161,6 +164,7 @@
 		s := d.services[server.registered.Service]
 		if s == nil || s.byIncarnation[incarnation] != server {
 			server.pool.Close()
+			d.keepNotice(server, d.clock())
 			delete(d.servers, incarnation)
 		}
 	}
@@ -174,9 +178,11 @@
 			pool: d.newPool(registered.Addr), sameZone: registered.Zone == d.zone,
 			hash: relay.ServerHash(registered.Incarnation()), limiter: quota.NewLimiter(rand.Float64()),
 		}
+		s.known.Restore(d.notices[registered.Incarnation()].notice)
 		d.servers[registered.Incarnation()] = s
 	}
 	s.registered = registered
+	s.known.Register(registered)
 	return s
 }
 
@@ -230,7 +236,7 @@
 	if c.server != nil && ahead == 0 {
 		return nil, d.reserve(s, c, now), nil
 	}
-	if !admission.ShouldQueue(request.Request, now, c.wait, c.runTime) {
+	if !c.reason.mayWait() || !admission.ShouldQueue(request.Request, now, c.wait, c.runTime) {
 		return nil, nil, &Refusal{Reason: c.reason, Wait: c.wait}
 	}
 	w := &waiter{service: s, request: request, result: make(chan waitResult, 1)}
@@ -325,7 +331,7 @@
 			w.refuse(ReasonStopping, 0)
 		case c.server != nil:
 			w.result <- waitResult{reservation: d.reserve(s, c, now)}
-		case admission.CannotMeetDeadline(w.request.Request, now, c.runTime) ||
+		case !c.reason.mayWait() || admission.CannotMeetDeadline(w.request.Request, now, c.runTime) ||
 			!admission.ShouldQueue(w.request.Request, now, c.wait, c.runTime):
 			w.refuse(c.reason, c.wait)
 		default:
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -16,6 +16,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/relay"
 	"github.com/sapphireplank/sapphireplank/internal/routing"
 	"github.com/sapphireplank/sapphireplank/internal/serverconn"
+	"github.com/sapphireplank/sapphireplank/internal/serverstate"
 	"github.com/sapphireplank/sapphireplank/internal/snapshot"
 	"github.com/sapphireplank/sapphireplank/internal/suspicion"
 )
@@ -139,7 +140,7 @@
 	}{
 		{"owner", view([]directory.RegisteredServer{testServer("a")}, ownedRow("a", false)), 0, ""},
 		{"owner drains", view([]directory.RegisteredServer{draining}, ownedRow("a", false)), 0, ""},
-		{"owner has drained too long", view([]directory.RegisteredServer{draining}, ownedRow("a", false)), testDrain - drainMargin + time.Millisecond, ReasonMoving},
+		{"owner has drained too long", view([]directory.RegisteredServer{draining}, ownedRow("a", false)), testDrain - serverstate.DrainMargin + time.Millisecond, ReasonMoving},
 		{"keys are being moved", view([]directory.RegisteredServer{testServer("a")}, ownedRow("a", true)), 0, ReasonMoving},
 		{"owner is gone", view(nil, ownedRow("a", false)), 0, ReasonMoving},
 		{"no owner", view(nil, ownedRow("", false)), 0, ReasonNoOwner},
--- a/internal/dispatch/load_sharing.go
+++ b/internal/dispatch/load_sharing.go
@@ -56,7 +56,7 @@
 	defer d.mu.Unlock()
 	count := 0
 	for _, s := range d.servers {
-		if s.failures.Suspended(d.clock()) {
+		if s.known.Failures.Suspended(d.clock()) {
 			count++
 		}
 	}
--- a/internal/dispatch/reservation.go
+++ b/internal/dispatch/reservation.go
@@ -8,6 +8,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
 	"github.com/sapphireplank/sapphireplank/internal/quota"
 	"github.com/sapphireplank/sapphireplank/internal/serverconn"
+	"github.com/sapphireplank/sapphireplank/internal/serverstate"
 	"github.com/sapphireplank/sapphireplank/internal/suspicion"
 )
 
@@ -46,6 +47,8 @@
 	Responded    bool
 	RateLimit    float64
 	HasRateLimit bool
+	// Statement is what the server said of itself in a response that is proven to be its own.
+	Statement serverstate.Statement
 	// NotSent is true if no byte of the request was sent.
 	NotSent bool
 	// ServerReplaced is true if a different server answered at the address, which means that the intended one has
@@ -86,8 +89,10 @@
 	defer d.mu.Unlock()
 	now := d.clock()
 	d.releaseSlot(r)
-	r.server.failures.Observe(result.Outcome, now)
-	r.server.replaced = r.server.replaced || result.ServerReplaced
+	r.server.known.Failures.Observe(result.Outcome, now)
+	if result.ServerReplaced {
+		r.server.known.MarkReplaced()
+	}
 	if result.HasLoad {
 		r.server.peerLoad.Report(result.Load.Running+result.Load.Queued, r.server.ownRequests, now)
 	}
@@ -97,7 +102,8 @@
 	if result.Responded {
 		d.observeLimit(r.server, quota.FromResponse(result.RateLimit, result.HasRateLimit, r.sentAt, now))
 	}
-	if result.RunTimeValid && now >= r.server.registered.WarmupUntil {
+	d.observeStatement(r, result.Statement, now)
+	if result.RunTimeValid && !r.server.known.WarmingUp(now) {
 		r.server.runTime.Observe(now-r.sentAt, r.relativeWait)
 		r.service.runTime.Observe(now-r.sentAt, r.relativeWait)
 	}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -7,7 +7,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/placing"
 	"github.com/sapphireplank/sapphireplank/internal/quota"
 	"github.com/sapphireplank/sapphireplank/internal/serverconn"
-	"github.com/sapphireplank/sapphireplank/internal/suspicion"
+	"github.com/sapphireplank/sapphireplank/internal/serverstate"
 )
 
 const (
@@ -33,12 +33,10 @@
 	peerRequestsAt    time.Duration
 	peerRequestsKnown bool
 	// hash identifies the server in messages between gateways.
-	hash     uint32
-	failures suspicion.Tracker
+	hash  uint32
+	known serverstate.State
 	// limiter admits requests while the server limits them.
 	limiter *quota.Limiter
-	// replaced is true once a different server has answered at this address.
-	replaced bool
 }
 
 // peerRequestsMaxAge is how long the numbers exchanged between gateways take precedence over the load reported by
@@ -53,21 +51,13 @@
 	return s.peerLoad.Estimate(now, mean)
 }
 
-// drainMargin is how long before the end of the drain period a draining server receives its last request.
-const drainMargin = 400 * time.Millisecond
-
-// drainExpired reports whether the server has been draining for so long that it receives no more requests.
-func (s *server) drainExpired(now, drain time.Duration) bool {
-	return s.registered.Draining && now-s.registered.DrainingSince > drain-drainMargin
-}
-
 // state returns the server's state in the form that package placing uses.
 func (s *server) state(now, meanRunTime time.Duration, meanPeerRequests float64) placing.Server {
 	if s.sharedRunTime > 0 {
 		meanRunTime = s.sharedRunTime
 	}
 	runTime := s.runTime.Expected(meanRunTime)
-	if now < s.registered.WarmupUntil {
+	if s.known.WarmingUp(now) {
 		runTime *= coldStartFactor
 	}
 	networkCost := crossZoneCost
@@ -80,6 +70,6 @@
 		PeerRequests: s.estimatePeerRequests(now, meanPeerRequests),
 		RunTime:      runTime,
 		NetworkCost:  networkCost,
-		FailureRate:  s.failures.FailureRate(now),
+		FailureRate:  s.known.Failures.FailureRate(now),
 	}
 }
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -8,6 +8,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
 	"github.com/sapphireplank/sapphireplank/internal/placing"
+	"github.com/sapphireplank/sapphireplank/internal/serverstate"
 )
 
 const (
@@ -105,7 +106,7 @@
 		return choice{reason: ReasonLimited, limited: s.limited, wait: wait, runTime: meanRunTime}
 	}
 	if len(candidates.SameZone)+len(candidates.OtherZones) == 0 {
-		return choice{reason: ReasonNoServer, wait: slowMoveWait, runTime: meanRunTime}
+		return choice{reason: s.reasonWithoutCandidates(), wait: slowMoveWait, runTime: meanRunTime}
 	}
 	candidates.State = state
 	if i := placing.Choose(candidates, placing.Limits{Target: request.Target}, s.random); i >= 0 {
@@ -121,6 +122,14 @@
 	return choice{reason: ReasonFull, limited: s.limited, wait: wait, runTime: meanRunTime}
 }
 
+// reasonWithoutCandidates returns the reason why no server is eligible for a request that any of them can run.
+func (s *service) reasonWithoutCandidates() Reason {
+	if slices.ContainsFunc(s.servers, func(server *server) bool { return server.known.Leaves() }) {
+		return ReasonLeaving
+	}
+	return ReasonNoServer
+}
+
 // candidates returns the servers that are eligible for a request. Servers that already received the request are
 // excluded if there are others, and suspended servers are excluded unless most servers are suspended. Servers that would
 // be eligible but admit no request now are in s.limited. The result and s.limited are valid until the next call.
@@ -128,7 +137,8 @@
 	eligible, tried, suspended := s.eligible[:0], []int(nil), 0
 	s.limited = s.limited[:0]
 	for i, server := range s.servers {
-		if server.registered.Draining || server.replaced {
+		availability := server.known.Availability(now, s.drain)
+		if availability <= serverstate.Draining {
 			continue
 		}
 		if !server.limiter.Admits(now, s.gateways) {
@@ -140,7 +150,7 @@
 			continue
 		}
 		eligible = append(eligible, i)
-		if server.failures.Suspended(now) {
+		if availability == serverstate.Suspended {
 			suspended++
 		}
 	}
@@ -152,7 +162,7 @@
 	candidates := placing.Candidates{SameZone: s.sameZoneIndices[:0], OtherZones: s.otherZoneIndices[:0]}
 	for _, i := range eligible {
 		switch {
-		case honorSuspensions && s.servers[i].failures.Suspended(now):
+		case honorSuspensions && s.servers[i].known.Failures.Suspended(now):
 		case s.servers[i].sameZone:
 			candidates.SameZone = append(candidates.SameZone, i)
 		default:
@@ -176,11 +186,11 @@
 	if row.Token == request.StaleToken && now < request.RetryAt {
 		return choice{reason: ReasonMoving, wait: request.RetryAt - now, runTime: meanRunTime}
 	}
-	if owner.replaced || owner.drainExpired(now, s.drain) {
+	if owner.known.Availability(now, s.drain) == serverstate.Gone {
 		return choice{reason: ReasonMoving, wait: s.moveWait(row.Token, now), runTime: meanRunTime}
 	}
 	state := owner.state(now, meanRunTime, s.meanPeerRequests())
-	if owner.failures.Suspended(now) {
+	if owner.known.Failures.Suspended(now) {
 		return choice{reason: ReasonSuspended, wait: slowMoveWait, runTime: state.RunTime}
 	}
 	if !owner.limiter.Admits(now, s.gateways) {
--- a/internal/entry/forwarder.go
+++ b/internal/entry/forwarder.go
@@ -9,6 +9,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/exchange"
 	"github.com/sapphireplank/sapphireplank/internal/routing"
 	"github.com/sapphireplank/sapphireplank/internal/serverconn"
+	"github.com/sapphireplank/sapphireplank/internal/serverstate"
 )
 
 const (
@@ -164,6 +165,9 @@
 		dispatchResult.ServerReplaced = misdirected && metadata.Instance != "" && metadata.Instance != reservation.Server.ID
 		dispatchResult.Responded = !dispatchResult.ServerReplaced
 		dispatchResult.RateLimit, dispatchResult.HasRateLimit = metadata.RateLimit, metadata.HasRateLimit
+		if metadata.ID == f.metadata.ID && !dispatchResult.ServerReplaced {
+			dispatchResult.Statement = serverstate.Statement{Leaving: metadata.Leaving}
+		}
 	}
 	dispatchResult.RunTimeValid = r == resultResponse
 	if !disconnected {
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sapphireplank/sapphireplank/internal/controller"
+	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/dispatch"
 	"github.com/sapphireplank/sapphireplank/internal/election"
 	"github.com/sapphireplank/sapphireplank/internal/entry"
@@ -150,6 +151,8 @@
 func (d dataPlane) SetLoads(total map[uint32]int)                 { d.dispatcher.SetLoads(total) }
 func (d dataPlane) SetRunTimes(runTimes map[uint32]relay.RunTime) { d.dispatcher.SetRunTimes(runTimes) }
 
+func (d dataPlane) LeavingServers() []directory.Incarnation { return d.dispatcher.LeavingServers() }
+
 func (d dataPlane) QuotaReports() []quota.Report   { return d.dispatcher.QuotaReports() }
 func (d dataPlane) SetQuotas(grants []quota.Grant) { d.dispatcher.SetQuotas(grants) }
 
--- a/internal/exchange/headers.go
+++ b/internal/exchange/headers.go
@@ -45,6 +45,8 @@
 	// one.
 	RateLimit    float64
 	HasRateLimit bool
+	// Leaving reports whether the backend server states that it is shutting down.
+	Leaving bool
 }
 
 // Load holds the numbers of running requests, queued requests and slots of a backend server.
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -39,6 +39,7 @@
 	suspended       prometheus.Gauge
 	limited         prometheus.Gauge
 	limitedSends    prometheus.Counter
+	notices         *prometheus.CounterVec
 	gateways        prometheus.Gauge
 	ownershipRows   prometheus.Gauge
 	storeContactAge prometheus.Gauge
@@ -64,6 +65,7 @@
 		servers:         newGauge("plank_backend_servers", "Backend servers that are known."),
 		suspended:       newGauge("plank_suspended_servers", "Backend servers that get no requests after silent or lost ones."),
 		limited:         newGauge("plank_limited_servers", "Backend servers that limit their request rate."),
+		notices:         newCounterVec("plank_entry_notices_total", "Notices of backend servers in their responses, by what they say.", labelKind),
 		limitedSends:    newCounter("plank_entry_limited_sends_total", "Requests placed on backend servers that limit their request rate."),
 		gateways:        newGauge("plank_gateways", "Gateways with which this one shares limits."),
 		ownershipRows:   newGauge("plank_ownership_rows", "Ranges of keys in the ownership tables."),
@@ -71,7 +73,7 @@
 		dropped:         newCounter("plank_log_lines_dropped_total", "Log lines that were dropped because the output was slow or the rate was exceeded."),
 	}
 	m.registry.MustRegister(m.requests, m.durations, m.queueWaits, m.refusals, m.sends, m.retries, m.storeCalls, m.orders,
-		m.movedKeys, m.elected, m.storeEra, m.version, m.servers, m.suspended, m.limited, m.limitedSends, m.gateways, m.ownershipRows, m.storeContactAge, m.dropped)
+		m.movedKeys, m.elected, m.storeEra, m.version, m.servers, m.suspended, m.limited, m.limitedSends, m.notices, m.gateways, m.ownershipRows, m.storeContactAge, m.dropped)
 	return m
 }
 
@@ -168,6 +170,9 @@
 // SetLimitedServers sets the number of backend servers that limit their request rate.
 func (m *Metrics) SetLimitedServers(count int) { m.limited.Set(float64(count)) }
 
+// CountNotice counts a notice that a backend server gave of itself in a response.
+func (m *Metrics) CountNotice(kind string) { m.notices.WithLabelValues(kind).Inc() }
+
 // CountLimitedSend counts a request that is placed on a backend server that limits its request rate.
 func (m *Metrics) CountLimitedSend() { m.limitedSends.Inc() }
 
--- a/internal/ownership/dueorders.go
+++ b/internal/ownership/dueorders.go
@@ -37,10 +37,10 @@
 
 // Result is the result of an order.
 type Result struct {
-	Order    Order
-	Handover string
-	Err      error
-	At       time.Duration
+	Order Order
+	Answer
+	Err error
+	At  time.Duration
 }
 
 // DueOrders returns the orders that are due. Orders about a row are withheld until its last change has been recorded.
--- a/internal/ownership/history_test.go
+++ b/internal/ownership/history_test.go
@@ -168,7 +168,9 @@
 // send delivers an order, unless the order or its response is lost.
 func (h *history) send(p *simProcess, order Order) {
 	respond := func(err error, handover string) {
-		h.schedule(0, func() { p.assigner.HandleResult(Result{Order: order, Err: err, Handover: handover, At: h.now}) })
+		h.schedule(0, func() {
+			p.assigner.HandleResult(Result{Order: order, Err: err, Answer: Answer{Handover: handover}, At: h.now})
+		})
 	}
 	timeout := func() {
 		h.schedule(historySettings.OrderTimeout, func() {
--- a/internal/ownership/orders.go
+++ b/internal/ownership/orders.go
@@ -8,10 +8,17 @@
 // OrderSender sends orders (grants and releases) to backend servers.
 type OrderSender interface {
 	// Grant grants keys to a backend server or renews its grant.
-	Grant(ctx context.Context, grant Grant) error
-	// Release withdraws keys from a backend server. It returns once no request for them is running, with the name of
-	// the state that the next owner can take over.
-	Release(ctx context.Context, release Release) (handover string, err error)
+	Grant(ctx context.Context, grant Grant) (Answer, error)
+	// Release withdraws keys from a backend server. It returns once no request for them is running.
+	Release(ctx context.Context, release Release) (Answer, error)
+}
+
+// Answer is the answer of a backend server to an order. What it says of the server itself is valid also with an error.
+type Answer struct {
+	// Handover is the name of the state that the next owner of released keys can take over.
+	Handover string
+	// Leaving is true if the server says that it is shutting down.
+	Leaving bool
 }
 
 // Grant allows a backend server to serve a range of keys for a limited time.
--- /dev/null
+++ b/internal/serverstate/state.go
@@ -0,0 +1,95 @@
+// Package serverstate combines what a gateway knows of one incarnation of a backend server: its entry in the store, what it
+// says of itself in its responses, and how its requests end. It performs no I/O and has no clock of its own.
+package serverstate
+
+import (
+	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/directory"
+	"github.com/sapphireplank/sapphireplank/internal/suspicion"
+)
+
+// DrainMargin is how long before the end of the drain period a draining server receives its last request.
+const DrainMargin = 400 * time.Millisecond
+
+// State is what a gateway knows of one incarnation of a backend server.
+type State struct {
+	// Failures are the statistics of the requests that the server failed or did not answer.
+	Failures suspicion.Tracker
+	// replaced is set once a different server has answered at the address.
+	replaced bool
+	// registered is the entry in the store.
+	registered directory.RegisteredServer
+	notice     Notice
+}
+
+// Register sets the entry of the server.
+func (s *State) Register(registered directory.RegisteredServer) { s.registered = registered }
+
+// MarkReplaced records that a different server answered at the address, which means that this one has ended.
+func (s *State) MarkReplaced() { s.replaced = true }
+
+// Notice returns what the server said of itself.
+func (s *State) Notice() Notice { return s.notice }
+
+// Restore sets what the server said of itself before it was known as registered.
+func (s *State) Restore(notice Notice) { s.notice = notice }
+
+// Observe records what the server says in a response that arrived now. It reports whether the gateway learned something.
+func (s *State) Observe(statement Statement, now time.Duration) bool {
+	return s.notice.observe(statement, now)
+}
+
+// Availability states which requests a server may receive.
+type Availability int
+
+// In order of precedence: a server that is in several of these states is in the first one that applies, except that it may
+// be Draining and anything that follows.
+const (
+	// Gone: it has ended, or has left. It receives no requests.
+	Gone Availability = iota
+	// Draining: it receives requests for keys that it owns, and no others.
+	Draining
+	// Suspended: it does not respond. It receives requests only if most others do not respond either.
+	Suspended
+	// Available: it receives requests.
+	Available
+)
+
+// Availability returns which requests the server may receive. drain is how long a server that leaves takes requests for
+// keys that it owns.
+//
+// What the server says of itself counts as much as its entry: the earlier of the two starts the drain, and neither ends what
+// the other has started.
+func (s *State) Availability(now, drain time.Duration) Availability {
+	since, draining := s.drainingSince()
+	switch {
+	case s.replaced, draining && now-since > drain-DrainMargin:
+		return Gone
+	case draining:
+		return Draining
+	case s.Failures.Suspended(now):
+		return Suspended
+	}
+	return Available
+}
+
+// Leaves reports whether the server leaves, or has left.
+func (s *State) Leaves() bool {
+	_, draining := s.drainingSince()
+	return draining
+}
+
+// drainingSince returns since when the server leaves, and whether it does.
+func (s *State) drainingSince() (time.Duration, bool) {
+	switch {
+	case s.registered.Draining && s.notice.Leaving:
+		return min(s.registered.DrainingSince, s.notice.LeavingSince), true
+	case s.registered.Draining:
+		return s.registered.DrainingSince, true
+	}
+	return s.notice.LeavingSince, s.notice.Leaving
+}
+
+// WarmingUp reports whether the server has less capacity than later.
+func (s *State) WarmingUp(now time.Duration) bool { return now < s.registered.WarmupUntil }
