serverstate, dispatch: heed servers that want no requests for a time

Change: the time holds for the incarnation on that gateway. Nothing is sent to the server before its end; a request for a key waits if its client has the time, or is refused with the time that is left; if all servers of a service hold off, requests are refused at once. No suspicion and no move of keys follows from it. Values that are no number of seconds are not followed, and are logged and counted once a server.

A shorter time does not end an earlier one: the users' bound counts from each.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -51,6 +51,15 @@
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
+// holdOffSpread is the time over which the clients of requests that were refused during a hold-off come back.
+const holdOffSpread = time.Second
+
+// RetryAfterHoldOff returns the delay after which the client should retry if the backend servers want no requests for some
+// time: that time, and a part of holdOffSpread. random is uniform in [0, 1).
+func RetryAfterHoldOff(left time.Duration, random float64) time.Duration {
+	return left + time.Duration(random*float64(holdOffSpread))
+}
+
 // Before reports whether a is served before b: by priority of the route, then requests that can still meet their
 // latency objective, then by arrival.
 func Before(a, b Request, now, runTime time.Duration) bool {
--- a/internal/dispatch/acquire_request.go
+++ b/internal/dispatch/acquire_request.go
@@ -39,15 +39,13 @@
 	ReasonMoving     Reason = "key moves"
 	ReasonSuspended  Reason = "owner suspended"
 	ReasonLeaving    Reason = "servers leave"
+	ReasonHeldOff    Reason = "servers hold off"
 	ReasonFull       Reason = "servers full"
 	ReasonLimited    Reason = "servers limit requests"
 	ReasonStopping   Reason = "gateway stops"
 	ReasonClientLeft Reason = "caller left"
 )
 
-// mayWait reports whether a request that is not placed for this reason may be queued.
-func (r Reason) mayWait() bool { return r != ReasonLeaving }
-
 // Refusal is the error for a request to which no backend server was assigned.
 type Refusal struct {
 	Reason Reason
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -16,6 +16,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/quota"
 	"github.com/sapphireplank/sapphireplank/internal/relay"
 	"github.com/sapphireplank/sapphireplank/internal/serverconn"
+	"github.com/sapphireplank/sapphireplank/internal/serverstate"
 	"github.com/sapphireplank/sapphireplank/internal/snapshot"
 )
 
@@ -176,7 +177,7 @@
 	if s == nil {
 		s = &server{
 			pool: d.newPool(registered.Addr), sameZone: registered.Zone == d.zone,
-			hash: relay.ServerHash(registered.Incarnation()), limiter: quota.NewLimiter(rand.Float64()),
+			hash: relay.ServerHash(registered.Incarnation()), known: serverstate.New(rand.Float64()), limiter: quota.NewLimiter(rand.Float64()),
 		}
 		s.known.Restore(d.notices[registered.Incarnation()].notice)
 		d.servers[registered.Incarnation()] = s
@@ -236,7 +237,7 @@
 	if c.server != nil && ahead == 0 {
 		return nil, d.reserve(s, c, now), nil
 	}
-	if !c.reason.mayWait() || !admission.ShouldQueue(request.Request, now, c.wait, c.runTime) {
+	if c.final || !admission.ShouldQueue(request.Request, now, c.wait, c.runTime) {
 		return nil, nil, &Refusal{Reason: c.reason, Wait: c.wait}
 	}
 	w := &waiter{service: s, request: request, result: make(chan waitResult, 1)}
@@ -331,7 +332,7 @@
 			w.refuse(ReasonStopping, 0)
 		case c.server != nil:
 			w.result <- waitResult{reservation: d.reserve(s, c, now)}
-		case !c.reason.mayWait() || admission.CannotMeetDeadline(w.request.Request, now, c.runTime) ||
+		case c.final || admission.CannotMeetDeadline(w.request.Request, now, c.runTime) ||
 			!admission.ShouldQueue(w.request.Request, now, c.wait, c.runTime):
 			w.refuse(c.reason, c.wait)
 		default:
--- a/internal/dispatch/notices_test.go
+++ b/internal/dispatch/notices_test.go
@@ -98,3 +98,53 @@
 		}
 	})
 }
+
+// Guards against requests to a server within the time for which it wants none, against a queue for it that cannot be served
+// in time, and against taking its keys for lost.
+func TestHeldOffServers(t *testing.T) {
+	const holdOff = 600 * time.Millisecond
+	cases := []struct {
+		name    string
+		servers int
+		key     bool
+		timeout time.Duration
+		want    Reason
+		after   time.Duration
+		server  string
+	}{
+		{"only server", 1, false, 20 * time.Second, ReasonHeldOff, 0, ""},
+		{"another server", 2, false, time.Second, "", 0, "b"},
+		{"owner, no time", 1, true, 500 * time.Millisecond, ReasonHeldOff, 0, ""},
+		{"owner, time to wait", 1, true, 20 * time.Second, "", holdOff, "a"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDispatcher()
+				servers := []directory.RegisteredServer{incarnationOf("a", 0), incarnationOf("b", 0)}
+				d.Update(view(servers[:1], ownedRow("a", false)))
+				hear(t, d, serverstate.Statement{HoldOff: holdOff})
+				if c.key {
+					d.Update(view(servers[:c.servers], ownedRow("a", false)))
+				} else {
+					d.Update(view(servers[:c.servers]))
+				}
+				request := newRequest(d, 0)
+				request.HasKey = c.key
+				request.Deadline = d.clock() + c.timeout
+				started := time.Now()
+				reservation, err := d.Acquire(t.Context(), request)
+				waited := time.Since(started)
+				if reason(err) != c.want || err == nil && reservation.Server.ID != c.server {
+					t.Fatalf("reservation %+v, error %v, want %q at %q", reservation, err, c.want, c.server)
+				}
+				if c.after == 0 && waited > 0 || waited < c.after {
+					t.Fatalf("after %v, want %v", waited, c.after)
+				}
+				if d.SuspendedServers() != 0 {
+					t.Error("a server that holds requests off counts as suspended")
+				}
+			})
+		})
+	}
+}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -63,8 +63,9 @@
 	token ownership.Token
 	// limited are the servers that have room, but admit no further request now. They are not set if a server was chosen.
 	limited []*server
-	// reason states why no server was chosen.
+	// reason states why no server was chosen. If final is set, the request is refused rather than queued.
 	reason Reason
+	final  bool
 	// wait is the expected queueing time if no server was chosen.
 	wait    time.Duration
 	runTime time.Duration
@@ -106,7 +107,7 @@
 		return choice{reason: ReasonLimited, limited: s.limited, wait: wait, runTime: meanRunTime}
 	}
 	if len(candidates.SameZone)+len(candidates.OtherZones) == 0 {
-		return choice{reason: s.reasonWithoutCandidates(), wait: slowMoveWait, runTime: meanRunTime}
+		return s.withoutCandidates(now, meanRunTime)
 	}
 	candidates.State = state
 	if i := placing.Choose(candidates, placing.Limits{Target: request.Target}, s.random); i >= 0 {
@@ -122,12 +123,30 @@
 	return choice{reason: ReasonFull, limited: s.limited, wait: wait, runTime: meanRunTime}
 }
 
-// reasonWithoutCandidates returns the reason why no server is eligible for a request that any of them can run.
-func (s *service) reasonWithoutCandidates() Reason {
-	if slices.ContainsFunc(s.servers, func(server *server) bool { return server.known.Leaves() }) {
-		return ReasonLeaving
+// withoutCandidates returns the choice for a request that any server can run, if none is eligible. What the servers
+// themselves have said is final: the request is refused at once.
+func (s *service) withoutCandidates(now, runTime time.Duration) choice {
+	leaves, admitsMore, earliest := false, false, time.Duration(0)
+	for _, server := range s.servers {
+		left := server.known.HeldOffFor(now)
+		switch {
+		case server.known.Leaves():
+			leaves = true
+		case left == 0:
+			admitsMore = admitsMore || server.known.Availability(now, s.drain) > serverstate.HeldOff
+		case earliest == 0 || left < earliest:
+			earliest = left
+		}
+	}
+	switch {
+	case admitsMore:
+		return choice{reason: ReasonFull, wait: runTime, runTime: runTime}
+	case earliest > 0:
+		return choice{reason: ReasonHeldOff, final: true, wait: earliest, runTime: runTime}
+	case leaves:
+		return choice{reason: ReasonLeaving, final: true, wait: slowMoveWait, runTime: runTime}
 	}
-	return ReasonNoServer
+	return choice{reason: ReasonNoServer, wait: slowMoveWait, runTime: runTime}
 }
 
 // candidates returns the servers that are eligible for a request. Servers that already received the request are
@@ -141,6 +160,9 @@
 		if availability <= serverstate.Draining {
 			continue
 		}
+		if availability == serverstate.HeldOff || !server.known.Admits(server.ownRequests, server.registered.Slots, now) {
+			continue
+		}
 		if !server.limiter.Admits(now, s.gateways) {
 			s.limited = append(s.limited, server)
 			continue
@@ -190,6 +212,12 @@
 		return choice{reason: ReasonMoving, wait: s.moveWait(row.Token, now), runTime: meanRunTime}
 	}
 	state := owner.state(now, meanRunTime, s.meanPeerRequests())
+	if left := owner.known.HeldOffFor(now); left > 0 {
+		return choice{reason: ReasonHeldOff, wait: left, runTime: state.RunTime}
+	}
+	if !owner.known.Admits(owner.ownRequests, owner.registered.Slots, now) {
+		return choice{reason: ReasonFull, wait: waitForRoom(state, ahead), runTime: state.RunTime}
+	}
 	if owner.known.Failures.Suspended(now) {
 		return choice{reason: ReasonSuspended, wait: slowMoveWait, runTime: state.RunTime}
 	}
--- a/internal/entry/attemptresult.go
+++ b/internal/entry/attemptresult.go
@@ -56,9 +56,10 @@
 	}
 }
 
-// serverOutcome returns what the result implies about the backend server. hadTime is set if the time limit of the
-// attempt was at least the expected response time.
-func (r attemptResult) serverOutcome(misdirected, hadTime bool) suspicion.Outcome {
+// serverOutcome returns what the result implies about the backend server. excused is set if a refusal does not: the server is
+// not the owner of the key, or holds requests off. hadTime is set if the time limit of the attempt was at least the expected
+// response time.
+func (r attemptResult) serverOutcome(excused, hadTime bool) suspicion.Outcome {
 	switch r {
 	case resultNotSent:
 		return suspicion.NoResponse
@@ -74,7 +75,7 @@
 	case resultFailed:
 		return suspicion.Failed
 	case resultNotExecuted:
-		if misdirected {
+		if excused {
 			return suspicion.OK
 		}
 		return suspicion.Refused
--- a/internal/entry/finalresponse.go
+++ b/internal/entry/finalresponse.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -63,6 +64,9 @@
 	if f.mayHaveExecuted {
 		return f.finalResponse()
 	}
-	return notExecutedResponse("no backend server has room ("+string(refusal.Reason)+"); send the request again",
-		admission.RetryAfter(refusal.Wait))
+	retryAfter := admission.RetryAfter(refusal.Wait)
+	if refusal.Reason == dispatch.ReasonHeldOff {
+		retryAfter = admission.RetryAfterHoldOff(refusal.Wait, rand.Float64())
+	}
+	return notExecutedResponse("no backend server has room ("+string(refusal.Reason)+"); send the request again", retryAfter)
 }
--- a/internal/entry/forwarder.go
+++ b/internal/entry/forwarder.go
@@ -166,12 +166,14 @@
 		dispatchResult.Responded = !dispatchResult.ServerReplaced
 		dispatchResult.RateLimit, dispatchResult.HasRateLimit = metadata.RateLimit, metadata.HasRateLimit
 		if metadata.ID == f.metadata.ID && !dispatchResult.ServerReplaced {
-			dispatchResult.Statement = serverstate.Statement{Leaving: metadata.Leaving}
+			dispatchResult.Statement = serverstate.Statement{
+				Leaving: metadata.Leaving, HoldOff: metadata.HoldOff, InvalidHoldOff: metadata.InvalidHoldOff,
+			}
 		}
 	}
 	dispatchResult.RunTimeValid = r == resultResponse
 	if !disconnected {
-		dispatchResult.Outcome = r.serverOutcome(misdirected, limit >= reservation.Expected)
+		dispatchResult.Outcome = r.serverOutcome(misdirected || dispatchResult.Statement.HoldOff > 0, limit >= reservation.Expected)
 	}
 	f.handler.Dispatcher.Done(reservation, dispatchResult)
 	if r == resultNotSent {
--- a/internal/exchange/headers.go
+++ b/internal/exchange/headers.go
@@ -45,6 +45,10 @@
 	// one.
 	RateLimit    float64
 	HasRateLimit bool
+	// HoldOff is how long the backend server wants no requests from this gateway, or 0. InvalidHoldOff is set if it names a
+	// time that can't be used.
+	HoldOff        time.Duration
+	InvalidHoldOff bool
 	// Leaving reports whether the backend server states that it is shutting down.
 	Leaving bool
 }
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -38,6 +38,7 @@
 	servers         prometheus.Gauge
 	suspended       prometheus.Gauge
 	limited         prometheus.Gauge
+	heldOff         prometheus.Gauge
 	limitedSends    prometheus.Counter
 	notices         *prometheus.CounterVec
 	gateways        prometheus.Gauge
@@ -64,6 +65,7 @@
 		version:         newGauge("plank_configuration_version", "Version of the configuration in force; 0 if there is none."),
 		servers:         newGauge("plank_backend_servers", "Backend servers that are known."),
 		suspended:       newGauge("plank_suspended_servers", "Backend servers that get no requests after silent or lost ones."),
+		heldOff:         newGauge("plank_held_off_servers", "Backend servers that want no requests from this gateway for some time."),
 		limited:         newGauge("plank_limited_servers", "Backend servers that limit their request rate."),
 		notices:         newCounterVec("plank_entry_notices_total", "Notices of backend servers in their responses, by what they say.", labelKind),
 		limitedSends:    newCounter("plank_entry_limited_sends_total", "Requests placed on backend servers that limit their request rate."),
@@ -73,7 +75,7 @@
 		dropped:         newCounter("plank_log_lines_dropped_total", "Log lines that were dropped because the output was slow or the rate was exceeded."),
 	}
 	m.registry.MustRegister(m.requests, m.durations, m.queueWaits, m.refusals, m.sends, m.retries, m.storeCalls, m.orders,
-		m.movedKeys, m.elected, m.storeEra, m.version, m.servers, m.suspended, m.limited, m.limitedSends, m.notices, m.gateways, m.ownershipRows, m.storeContactAge, m.dropped)
+		m.movedKeys, m.elected, m.storeEra, m.version, m.servers, m.suspended, m.limited, m.heldOff, m.limitedSends, m.notices, m.gateways, m.ownershipRows, m.storeContactAge, m.dropped)
 	return m
 }
 
@@ -170,6 +172,9 @@
 // SetLimitedServers sets the number of backend servers that limit their request rate.
 func (m *Metrics) SetLimitedServers(count int) { m.limited.Set(float64(count)) }
 
+// SetHeldOffServers sets the number of backend servers that want no requests from this gateway now.
+func (m *Metrics) SetHeldOffServers(count int) { m.heldOff.Set(float64(count)) }
+
 // CountNotice counts a notice that a backend server gave of itself in a response.
 func (m *Metrics) CountNotice(kind string) { m.notices.WithLabelValues(kind).Inc() }
 
--- a/internal/observe/metrics_test.go
+++ b/internal/observe/metrics_test.go
@@ -17,6 +17,7 @@
 	m := New()
 	m.ObserveRequest("once", "served", time.Second)
 	m.CountRefusal("servers full")
+	m.CountNotice("leaving")
 	m.CountAttempt("answer")
 	m.CountRetry(true)
 	m.CountOrder("grant", nil)
--- a/internal/serverstate/state.go
+++ b/internal/serverstate/state.go
@@ -21,8 +21,14 @@
 	// registered is the entry in the store.
 	registered directory.RegisteredServer
 	notice     Notice
+	// position is the place of this gateway among those that come back to the server after a hold-off, from 0 to 1.
+	position float64
 }
 
+// New returns the state of a server of which nothing is known. position is the place of this gateway among those that come
+// back to the server after a hold-off, from 0 to 1.
+func New(position float64) State { return State{position: position} }
+
 // Register sets the entry of the server.
 func (s *State) Register(registered directory.RegisteredServer) { s.registered = registered }
 
@@ -35,21 +41,33 @@
 // Restore sets what the server said of itself before it was known as registered.
 func (s *State) Restore(notice Notice) { s.notice = notice }
 
-// Observe records what the server says in a response that arrived now. It reports whether the gateway learned something.
-func (s *State) Observe(statement Statement, now time.Duration) bool {
-	return s.notice.observe(statement, now)
+// Observe records what the server says in a response that arrived now, to a request that was sent at a time. spread is the
+// time over which the gateways come back after a hold-off. It returns what is new.
+func (s *State) Observe(statement Statement, sentAt, now, spread time.Duration) Learned {
+	return s.notice.observe(statement, sentAt, now, spread, s.position)
+}
+
+// Admits reports whether a server with this many slots may receive a further request from this gateway, which has own ones
+// there, after it has held requests off.
+func (s *State) Admits(own, slots int, now time.Duration) bool {
+	limit, limited := s.notice.HoldOff.Limit(now, slots)
+	return !limited || own < limit
 }
 
+// HeldOffFor returns how long the server wants no requests from this gateway.
+func (s *State) HeldOffFor(now time.Duration) time.Duration { return s.notice.HoldOff.Left(now) }
+
 // Availability states which requests a server may receive.
 type Availability int
 
-// In order of precedence: a server that is in several of these states is in the first one that applies, except that it may
-// be Draining and anything that follows.
+// In order of precedence: a server that is in several of these states is in the first one that applies.
 const (
 	// Gone: it has ended, or has left. It receives no requests.
 	Gone Availability = iota
 	// Draining: it receives requests for keys that it owns, and no others.
 	Draining
+	// HeldOff: it wants no requests for some time.
+	HeldOff
 	// Suspended: it does not respond. It receives requests only if most others do not respond either.
 	Suspended
 	// Available: it receives requests.
@@ -68,6 +86,8 @@
 		return Gone
 	case draining:
 		return Draining
+	case s.notice.HoldOff.Active(now):
+		return HeldOff
 	case s.Failures.Suspended(now):
 		return Suspended
 	}
--- a/internal/serverstate/state_test.go
+++ b/internal/serverstate/state_test.go
@@ -19,7 +19,7 @@
 		}
 	}
 	says := func(at time.Duration) func(*State) {
-		return func(s *State) { s.Observe(Statement{Leaving: true}, at) }
+		return func(s *State) { s.Observe(Statement{Leaving: true}, at, at, 0) }
 	}
 	silent := func(s *State) {
 		for range 3 {
@@ -27,6 +27,7 @@
 		}
 	}
 	replaced := func(s *State) { s.MarkReplaced() }
+	busy := func(s *State) { s.Observe(Statement{HoldOff: time.Second}, 0, 0, 0) }
 	cases := []struct {
 		name  string
 		facts []func(*State)
@@ -40,9 +41,13 @@
 		{"said so long ago, entry ready", []func(*State){says(0), entry(false, 0)}, expired, Gone},
 		{"said so long ago, entry drains now", []func(*State){says(0), entry(true, expired)}, expired, Gone},
 		{"says so again later", []func(*State){says(0), says(expired)}, expired, Gone},
-		{"says nothing later", []func(*State){says(0), func(s *State) { s.Observe(Statement{}, 1) }}, 0, Draining},
+		{"says nothing later", []func(*State){says(0), func(s *State) { s.Observe(Statement{}, 1, 1, 0) }}, 0, Draining},
 		{"does not respond", []func(*State){silent}, 0, Suspended},
 		{"leaves and does not respond", []func(*State){silent, says(0)}, 0, Draining},
+		{"holds off", []func(*State){busy}, time.Second - 1, HeldOff},
+		{"has held off", []func(*State){busy}, time.Second, Available},
+		{"holds off and does not respond", []func(*State){silent, busy}, 0, HeldOff},
+		{"holds off and leaves", []func(*State){busy, says(0)}, 0, Draining},
 		{"replaced", []func(*State){replaced, entry(false, 0)}, 0, Gone},
 		{"replaced and leaves", []func(*State){says(0), replaced}, 0, Gone},
 	}
