entry: send responses that wait behind a request when a stop ends

Cause: responses go out in the order of the requests, and the wait for the first one had no end before that of the process.

Change: 200 ms before the end, a connection with responses behind an unanswered request answers that one with 502 and sends them.

--- a/internal/entry/clientconn.go
+++ b/internal/entry/clientconn.go
@@ -30,6 +30,8 @@
 	limited *io.LimitedReader
 	reader  *bufio.Reader
 	pending chan *request
+	// behind are the requests that the writer has taken from pending ahead of time.
+	behind []*request
 	// ctx is canceled when the client disconnects.
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -177,6 +177,42 @@
 	}
 }
 
+// Guards against responses that are there, and are not sent when the process ends, because an earlier request of their
+// connection is still running; and against breaking off a request that keeps none back.
+func TestFinishSendsWaitingResponses(t *testing.T) {
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	b := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "slow") {
+			<-release
+		}
+		signed(w, 200, r.URL.Path)
+	})
+	f := newFixture(t, b)
+	pipelined, alone := f.dial(t), f.dial(t)
+	alone.send("GET", "/read/slow", "a")
+	for i, path := range []string{"/read/slow", "/read/1", "/read/slow", "/read/2"} {
+		pipelined.send("GET", path, fmt.Sprint("p", i))
+	}
+	for b.arrivals.Load() < 5 {
+		time.Sleep(time.Millisecond)
+	}
+	f.server.Drain()
+	f.server.Finish()
+	for _, want := range []struct {
+		status int
+		body   string
+	}{{502, ""}, {200, "/read/1"}, {502, ""}, {200, "/read/2"}} {
+		if response, body := pipelined.receive(); response.StatusCode != want.status || want.status == 200 && body != want.body {
+			t.Errorf("status %d, body %q, want %d, %q", response.StatusCode, body, want.status, want.body)
+		}
+	}
+	alone.conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if _, err := alone.reader.ReadByte(); !isTimeout(err) {
+		t.Errorf("request that keeps no response back: %v, want none yet", err)
+	}
+}
+
 // onceListener accepts one connection. accepting receives a value for each call of Accept.
 type onceListener struct {
 	net.Listener
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -72,6 +72,8 @@
 		log:      options.Log,
 		conns:    make(map[*clientConn]struct{}),
 
+		finishing: make(chan struct{}),
+
 		memory:        bytebudget.New(options.BodyMemoryBytes),
 		heldBodyBytes: min(options.HeldBodyBytes, options.BodyMemoryBytes),
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -27,8 +27,11 @@
 	memory        *bytebudget.Budget
 	heldBodyBytes int64
 
-	draining  atomic.Bool
-	rejecting atomic.Bool
+	// finishing is closed shortly before the process ends.
+	finishing  chan struct{}
+	finishOnce sync.Once
+	draining   atomic.Bool
+	rejecting  atomic.Bool
 	// inFlight counts the requests that are not answered yet.
 	inFlight atomic.Int64
 
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -7,8 +7,8 @@
 // writeResponses writes the responses in the order of the requests.
 func (c *clientConn) writeResponses() {
 	failed := false
-	for r := range c.pending {
-		resp := <-r.responded
+	for r := c.nextRequest(); r != nil; r = c.nextRequest() {
+		resp := c.nextResponse(r)
 		c.server.inFlight.Add(-1)
 		closes := c.endRequest(resp.close || r.closeAfter)
 		if failed || resp.status == statusClientGone {
@@ -30,6 +30,16 @@
 	}
 }
 
+// nextRequest returns the next request to answer, or nil if there is none and none follows.
+func (c *clientConn) nextRequest() *request {
+	if len(c.behind) == 0 {
+		return <-c.pending
+	}
+	r := c.behind[0]
+	c.behind = c.behind[1:]
+	return r
+}
+
 func (c *clientConn) writeResponse(r *request, resp *response) error {
 	if err := c.tcp.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
--- a/internal/entrynode/stop.go
+++ b/internal/entrynode/stop.go
@@ -14,9 +14,9 @@
 	// requestAcceptPeriod is how long a stopping process accepts requests. Later requests might not finish within the
 	// grace period.
 	requestAcceptPeriod = 3 * time.Second
-	// abortReadsMargin is how long before the end of the grace period requests that have not arrived completely are
-	// rejected.
-	abortReadsMargin = 200 * time.Millisecond
+	// finishMargin is how long before the end of the grace period requests that have not arrived completely are rejected, and
+	// responses are sent that wait for an earlier one.
+	finishMargin = 200 * time.Millisecond
 	// lastResponseMargin is how long before the end of the grace period the last request that was queued is expected to be
 	// answered.
 	lastResponseMargin = 100 * time.Millisecond
@@ -43,7 +43,8 @@
 }
 
 // shutdown shuts the process down gracefully: running requests finish, queued ones that cannot are refused, client connections are closed after their next
-// response, and idle connections are closed once the load balancer sends no new ones. The elected gateway stays until
+// response, and idle connections are closed once the load balancer sends no new ones. At the end, responses that wait
+// behind a running request are sent. The elected gateway stays until
 // it has resigned, at most until the end of the grace period.
 func (n *Node) shutdown() {
 	started := time.Now()
@@ -68,8 +69,9 @@
 			continue
 		}
 		n.server.CloseIdle()
-		if time.Until(end) < abortReadsMargin {
+		if time.Until(end) < finishMargin {
 			n.server.AbortReads()
+			n.server.Finish()
 		}
 		if n.server.Connections() > 0 || n.server.InFlight() > 0 || !isClosed(resigned) {
 			continue
