soak: servers that leave or hold off, late writes, configuration at the end

The soak never played a write that the store carries out late, nor what servers say of themselves, and did not see a gateway that stops following the store.

Change: three faults of servers, the checks of the two rules in the stand-in, and a last configuration that all gateways have to apply.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -23,7 +23,7 @@
 		return nil, err
 	}
 	options.Advertise = proxy.Addr()
-	options.Rate = &standin.RateCheck{}
+	options.Rate, options.Notices = &standin.RateCheck{}, &standin.Notices{}
 	b := &backend{options: options, proxy: proxy}
 	return b, b.start()
 }
@@ -43,6 +43,7 @@
 func (b *backend) restart(delay time.Duration) error {
 	b.server.Crash()
 	b.options.Rate.Set(time.Now(), noLimit)
+	b.options.Notices.Reset()
 	time.Sleep(delay)
 	return b.start()
 }
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -153,6 +153,13 @@
 	c.addViolation("server %s got %d requests in a window, %.1f allowed", server, excess.Requests, excess.Allowed)
 }
 
+// RecordUnwanted records a request that arrived against what a server had said of itself.
+func (c *Checker) RecordUnwanted(server, violation string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addViolation("server %s: %s", server, violation)
+}
+
 // HeldRangesChanged implements standin.Observer.
 func (c *Checker) HeldRangesChanged(server string, ranges []standin.HeldRange) {
 	c.mu.Lock()
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -44,8 +44,9 @@
 
 const configFormat = `{"version":"r%d",
 "routes":{"columns":["name","host","prefix","kind","timeoutMs","targetLatencyMs","priority","maxAttempts","service"],
-"rows":[["keyed","%s","%s","safe",1200,300,1,2,"keyed"],["once","%s","%s","unsafe",1200,300,0,2,"once"]]},
-"services":{"columns":["name","healthPath","maxConns","sharded"],"rows":[["keyed","/healthz",100,true],["once","/healthz",100,null]]},
+"rows":[["keyed","%s","%s","safe",1200,300,1,2,"keyed"],["once","%s","%s","unsafe",1200,300,0,2,"once"],
+["other","%s","%s","safe",1200,300,1,2,"empty"]]},
+"services":{"columns":["name","healthPath","maxConns","sharded"],"rows":[["keyed","/healthz",100,true],["once","/healthz",100,null],["empty","/healthz",100,null]]},
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
 
 // newDeployment starts a deployment that keeps settings and logs in a directory. The caller must close the deployment
@@ -93,11 +94,14 @@
 }
 
 // publishConfig writes the next version of the configuration to the store.
-func (d *deployment) publishConfig() error {
+func (d *deployment) publishConfig() error { return d.publishConfigWith(unusedPath) }
+
+// publishConfigWith writes the next version, with a route for a path that the clients do not use.
+func (d *deployment) publishConfigWith(path string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.configVersion++
-	text := fmt.Sprintf(configFormat, d.configVersion, testHost, keyedPath, testHost, oncePath)
+	text := fmt.Sprintf(configFormat, d.configVersion, testHost, keyedPath, testHost, oncePath, testHost, path)
 	put := kv.Put{Key: platform.ConfigKey, Value: []byte(text)}
 	_, err := d.store.Commit(context.Background(), kv.Txn{Puts: []kv.Put{put}})
 	return errors.Wrap(err, "write the configuration")
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -40,6 +40,8 @@
 	serverID := b.options.ID
 	age := random.IntN(maxCopies)
 	limit := minLimit + random.Float64()*(maxLimit-minLimit)
+	retryAfter := randomDuration(random, minRetryAfter, maxRetryAfter)
+	lateness := randomDuration(random, minLateness, maxLateness)
 	faults := []fault{
 		d.gatewayFault("process paused", g, func() error { return d.pauseGateway(g, duration) }),
 		d.gatewayFault("process killed", g, func() error { return g.restart(syscall.SIGKILL, restartDelay) }),
@@ -52,6 +54,9 @@
 		{"server connections reset", serverID, func() error { return d.disconnect(b.proxy, duration) }},
 		{"server connections delayed", serverID, func() error { return d.delay(b.proxy, duration) }},
 		{"server limits its requests", serverID, func() error { return limitRequests(b, limit, duration) }},
+		{"server says that it leaves", serverID, func() error { return d.leave(b, duration, restartDelay) }},
+		{"server wants no requests", serverID, func() error { return d.turnAway(b, duration, retryAfter) }},
+		{"server restarted, late entry", serverID, func() error { return d.restartWithLateEntry(b, restartDelay, lateness) }},
 		{"store restored", wholeDeployment, func() error { return d.restoreStore(duration/awayShare, age) }},
 		{"server restarted", serverID, func() error { return b.restart(restartDelay) }},
 		{"new configuration", wholeDeployment, d.publishConfig},
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -23,10 +23,12 @@
 	return nil
 }
 
-// excuse leaves the requests of a gateway out of the check of limits until a point in time.
+// excuse leaves the requests of a gateway out of the check of limits until a point in time, and forgets what servers have told
+// it of themselves.
 func (d *deployment) excuse(g *gateway, until time.Time) {
 	for _, b := range d.backends {
 		b.options.Rate.Excuse(g.name, until)
+		b.options.Notices.Excuse(g.name)
 	}
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -73,12 +73,13 @@
 	if err := d.injectFaults(options); err != nil {
 		return err
 	}
-	recoveryErr := awaitServing(&total, recoveryTimeout)
+	recoveryErr := errors.CombineErrors(awaitServing(&total, recoveryTimeout), d.checkConfig())
 	cancel()
 	clients.Wait()
 	fmt.Fprintf(options.Output, "seed %d: %d requests, %d served, %d refused, %d failed\n",
 		options.Seed, total.sent.Load(), total.served.Load(), total.refused.Load(), total.failed.Load())
 	d.checkLimits()
+	d.checkNotices()
 	if violations := d.checker.Violations(); len(violations) > 0 {
 		return errors.Wrapf(ErrViolation, "seed %d: %d violations; the first: %s", options.Seed, len(violations), violations[0])
 	}
