--- a/internal/directory/leaving.go
+++ b/internal/directory/leaving.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// leavingRetention is how long the word of a server that it leaves is remembered while the server is not registered. A later
+// NoticeRetention is how long what a server has said of itself is remembered while the server is not registered. A later
 // entry of the same incarnation does not take it back.
-const leavingRetention = 10 * time.Minute
+const NoticeRetention = 10 * time.Minute
 
 // MarkLeaving records that an incarnation has said of itself that it leaves, and reports whether that is new.
 func (d *Directory) MarkLeaving(now time.Duration, incarnation Incarnation) bool {
@@ -18,11 +18,11 @@
 	return true
 }
 
-// forgetLeaving forgets the servers that said that they leave, and have not been registered for leavingRetention.
+// forgetLeaving forgets the servers that said that they leave, and have not been registered for NoticeRetention.
 func (d *Directory) forgetLeaving(now time.Duration) {
 	maps.DeleteFunc(d.leaving, func(incarnation Incarnation, since time.Duration) bool {
 		e, registered := d.entries[incarnation.ID]
-		return now-since > leavingRetention && !(registered && e.server.Incarnation() == incarnation)
+		return now-since > NoticeRetention && !(registered && e.server.Incarnation() == incarnation)
 	})
 }
 
--- a/internal/directory/leaving_test.go
+++ b/internal/directory/leaving_test.go
@@ -56,7 +56,7 @@
 	d.Put(0, 0, server)
 	d.MarkLeaving(time.Second, server.Incarnation())
 	d.Remove(2*time.Second, "a")
-	d.Expire(2*leavingRetention, 0)
+	d.Expire(2*NoticeRetention, 0)
 	if len(d.leaving) != 0 {
 		t.Errorf("%d servers are remembered", len(d.leaving))
 	}
--- a/internal/dispatch/notices.go
+++ b/internal/dispatch/notices.go
@@ -11,10 +11,6 @@
 	"github.com/sapphireplank/sapphireplank/internal/serverstate"
 )
 
-// noticeRetention is how long after a server was removed from the list its notice is kept. A later entry of the same
-// incarnation does not end what the server has said of itself.
-const noticeRetention = 10 * time.Minute
-
 // keptNotice is the notice of an incarnation that is not listed.
 type keptNotice struct {
 	notice serverstate.Notice
@@ -24,6 +20,9 @@
 // observeStatement applies what a backend server said of itself in the response to a request.
 func (d *Dispatcher) observeStatement(r *Reservation, statement serverstate.Statement, now time.Duration) {
 	learned := r.server.known.Observe(statement, r.sentAt, now, d.returnSpread(r))
+	if learned == (serverstate.Learned{}) {
+		return
+	}
 	log := d.log.WithFields(logrus.Fields{
 		"server": r.Server.ID, "started_ms": r.Server.StartedAtMs, "service": r.Server.Service, "sent": r.sentAt,
 	})
@@ -74,7 +73,7 @@
 	maps.DeleteFunc(d.notices, func(_ directory.Incarnation, kept keptNotice) bool { return now > kept.until })
 	incarnation, notice := s.registered.Incarnation(), s.known.Notice()
 	if incarnation.StartedAtMs > 0 && !notice.IsZero() {
-		d.notices[incarnation] = keptNotice{notice: notice, until: now + max(noticeRetention, notice.HoldOff.Left(now))}
+		d.notices[incarnation] = keptNotice{notice: notice, until: now + max(directory.NoticeRetention, notice.HoldOff.Left(now))}
 	}
 }
 
