entry: count a request once in the retry budget

Cause, one of two found: the first attempt of a request counts it, and while nothing of it had been sent, each further attempt counted it again, up to four times. Where servers refuse connections, as those that have left, the budget grew with requests that nobody had sent.

Measured: TestRequestCountsOnce failed 2 of 2 times before (one request allowed a retry at a ratio of 1) and passes.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -89,6 +89,23 @@
 	}
 }
 
+// Guards against a retry budget that grows with attempts of which nothing was sent: a request counts once.
+func TestRequestCountsOnce(t *testing.T) {
+	b := newBackend(t, abort)
+	b.close()
+	f := newFixture(t, b)
+	f.budgets.SetLimits(retry.WindowLimits{Window: time.Minute, Ratio: 1})
+	conn := f.dial(t)
+	conn.send("POST", "/order/x", "a")
+	if response, _ := conn.receive(); response.StatusCode != 503 {
+		t.Errorf("status %d, want 503", response.StatusCode)
+	}
+	// A single request is not worth a retry, because the ratio is applied with a margin.
+	if f.budgets.Take("s", 1) {
+		t.Error("one request that was not sent allows a retry")
+	}
+}
+
 // Guards against responses in the wrong order, and against a pipelined request that waits for the response to its
 // predecessor.
 func TestPipelinedRequests(t *testing.T) {
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -46,7 +46,9 @@
 
 // backend is a fake backend server. Its handler writes the response.
 type backend struct {
-	addr     string
+	addr string
+	// close ends the server, so that its address refuses connections.
+	close    func()
 	arrivals atomic.Int64
 }
 
@@ -64,7 +66,8 @@
 		handler(w, r)
 	})}
 	go server.Serve(listener)
-	t.Cleanup(func() { server.Close() })
+	b.close = func() { server.Close() }
+	t.Cleanup(b.close)
 	return b
 }
 
@@ -81,7 +84,9 @@
 type fixture struct {
 	addr   string
 	server *Server
-	view   atomic.Pointer[snapshot.Snapshot]
+	// budgets are the retry budgets.
+	budgets *RetryBudgets
+	view    atomic.Pointer[snapshot.Snapshot]
 }
 
 const (
@@ -123,7 +128,7 @@
 		},
 		Limits: routing.Limits{MaxHeaderBytes: 4 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 2 * time.Second, IdleTimeout: 10 * time.Second},
 	}
-	f := &fixture{}
+	f := &fixture{budgets: NewRetryBudgets(retry.WindowLimits{Window: time.Minute, Ratio: 0, Slack: budgetSlack}, clock)}
 	f.view.Store(&snapshot.Snapshot{
 		Routes: routing.NewTable(config), Services: map[string]*snapshot.Service{"s": service}, Gateways: 1,
 	})
@@ -133,7 +138,7 @@
 		Clock:        clock,
 		Dispatcher:   dispatcher,
 		Headers:      testHeaders{},
-		RetryBudgets: NewRetryBudgets(retry.WindowLimits{Window: time.Minute, Ratio: 0, Slack: budgetSlack}, clock),
+		RetryBudgets: f.budgets,
 		ConnTimeouts: timeouts,
 
 		BodyMemoryBytes: bodyMemoryBytes,
--- a/internal/entry/forwarder.go
+++ b/internal/entry/forwarder.go
@@ -90,7 +90,7 @@
 			f.handler.Dispatcher.Done(reservation, dispatch.Result{NotSent: true})
 			return f.outOfTime()
 		}
-		if f.sends == 0 {
+		if f.sends == 0 && f.unsent == 0 {
 			h.RetryBudgets.CountRequest(f.acquireRequest.Service)
 		}
 		f.send(ctx, reservation)
