retry: no slack in the first window of a process

Cause: each process had its part of the slack at once. A process that takes the place of one that had used that part gave it out again within the same window, so a fleet whose gateways are restarted in turn passed the bound on their sum.

Change: a process has no slack before the length of a window has passed since its start; the ratio of its own requests holds from the beginning. The fixture of entry's tests has a clock that starts after that window, so that its tests go on checking the slack.

Measured: TestRestartedGatewaysStayWithinSharedBudget found 82 retries in a window, 80 allowed, before; it passes.

--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -95,6 +95,7 @@
 	// shortTimeout is the timeout of the route whose requests run out of time.
 	shortTimeout = 300 * time.Millisecond
 	budgetSlack  = 3
+	budgetWindow = time.Minute
 	// bodyMemoryBytes and heldBodyBytes are the limits of bodies.
 	bodyMemoryBytes = 4 << 20
 	heldBodyBytes   = 64 << 10
@@ -103,7 +104,8 @@
 func newFixture(t testing.TB, backends ...*backend) *fixture {
 	t.Helper()
 	started := time.Now()
-	clock := func() time.Duration { return time.Since(started) }
+	// The process has run for longer than the window of the retry budget.
+	clock := func() time.Duration { return budgetWindow + time.Since(started) }
 	timeouts := netdial.Settings{ConnectTimeout: time.Second, UserTimeout: 5 * time.Second, KeepAliveInterval: 5 * time.Second}
 	dispatcher := dispatch.New(dispatch.Options{
 		Zone: "z", Drain: time.Second, Clock: clock, Log: logging.Discard().Component("dispatch"), Metrics: observe.New(),
@@ -128,7 +130,7 @@
 		},
 		Limits: routing.Limits{MaxHeaderBytes: 4 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 2 * time.Second, IdleTimeout: 10 * time.Second},
 	}
-	f := &fixture{budgets: NewRetryBudgets(retry.WindowLimits{Window: time.Minute, Ratio: 0, Slack: budgetSlack}, clock)}
+	f := &fixture{budgets: NewRetryBudgets(retry.WindowLimits{Window: budgetWindow, Ratio: 0, Slack: budgetSlack}, clock)}
 	f.view.Store(&snapshot.Snapshot{
 		Routes: routing.NewTable(config), Services: map[string]*snapshot.Service{"s": service}, Gateways: 1,
 	})
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -22,7 +22,8 @@
 
 // WindowBudget is one gateway's part of a retry budget that all gateways share without exchanging messages. Each
 // gateway applies the ratio to its own requests and uses an equal part of the slack, so the sum over all gateways
-// stays within the limits.
+// stays within the limits. In its first window a process has no slack: the one that ran on its host before may have used it.
+// Times are those since the start of the process.
 type WindowBudget struct {
 	limits   WindowLimits
 	requests [windowBuckets]int
@@ -57,7 +58,10 @@
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
-	allowed := ratioSafetyFactor*b.limits.Ratio*float64(requests) + b.limits.Slack/float64(max(1, gateways))
+	allowed := ratioSafetyFactor * b.limits.Ratio * float64(requests)
+	if now >= b.limits.Window {
+		allowed += b.limits.Slack / float64(max(1, gateways))
+	}
 	if float64(retries+1) > allowed {
 		return false
 	}
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -54,3 +54,49 @@
 	}
 	return total
 }
+
+// Guards against a slack that is used twice in a window, by a gateway and by the process that takes its place. All requests
+// fail, and half of the gateways are restarted at about the same time.
+func TestRestartedGatewaysStayWithinSharedBudget(t *testing.T) {
+	limits := WindowLimits{Window: 10 * time.Second, Ratio: 0.2, Slack: 60}
+	const (
+		gateways  = 10
+		interval  = 20 * time.Millisecond
+		restartAt = 45 * time.Second
+		length    = 60 * time.Second
+	)
+	windows := make([]*WindowBudget, gateways)
+	started := make([]time.Duration, gateways)
+	for i := range windows {
+		windows[i] = NewWindowBudget(limits)
+	}
+	var requests, retries []int
+	for now := time.Duration(0); now < length; now += interval {
+		sent, retried := 0, 0
+		for i := range windows {
+			if now == restartAt && i%2 == 0 {
+				windows[i], started[i] = NewWindowBudget(limits), now
+			}
+			// One request a second from each gateway, so that the slack is most of the budget.
+			if int(now/interval)%50 != i {
+				continue
+			}
+			windows[i].CountRequest(now - started[i])
+			sent++
+			for windows[i].Take(now-started[i], gateways) {
+				retried++
+			}
+		}
+		requests, retries = append(requests, sent), append(retries, retried)
+	}
+	perWindow := int(limits.Window / interval)
+	for end := perWindow; end <= len(requests); end++ {
+		sent, retried := 0, 0
+		for i := end - perWindow; i < end; i++ {
+			sent, retried = sent+requests[i], retried+retries[i]
+		}
+		if allowed := limits.Ratio*float64(sent) + limits.Slack; float64(retried) > allowed {
+			t.Fatalf("%d retries of %d requests in the window that ends at %v, %.0f allowed", retried, sent, time.Duration(end)*interval, allowed)
+		}
+	}
+}
