entry: heed notices only in responses that repeat an id

Cause: a request without an id, answered by a response without one, counted as proof that the response is the server's own.

Measured: TestLeavingNotice, case "response without an id", failed before (503 to the next request) and passes.

--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -41,6 +41,7 @@
 func (testHeaders) ParseResponse(_ int, header http.Header) exchange.ResponseMetadata {
 	return exchange.ResponseMetadata{
 		ID: header.Get("Id"), Signed: header.Get("Sign") != "", NotExecuted: header.Get("Not-Run") != "", Instance: header.Get("Instance"),
+		Leaving: header.Get("Leaving") != "",
 	}
 }
 
--- a/internal/entry/forwarder.go
+++ b/internal/entry/forwarder.go
@@ -165,7 +165,7 @@
 		dispatchResult.ServerReplaced = misdirected && metadata.Instance != "" && metadata.Instance != reservation.Server.ID
 		dispatchResult.Responded = !dispatchResult.ServerReplaced
 		dispatchResult.RateLimit, dispatchResult.HasRateLimit = metadata.RateLimit, metadata.HasRateLimit
-		if metadata.ID == f.metadata.ID && !dispatchResult.ServerReplaced {
+		if metadata.ID != "" && metadata.ID == f.metadata.ID && !dispatchResult.ServerReplaced {
 			dispatchResult.Statement = serverstate.Statement{
 				Leaving: metadata.Leaving, HoldOff: metadata.HoldOff, InvalidHoldOff: metadata.InvalidHoldOff,
 			}
