entrynode: take requests for 2.75 s of a stop

Cause: the process took requests for 3 s from when it had handled the signal, which is as long as the platform excuses requests that a stop cuts off; delivery of the signal and the poll come on top.

--- a/internal/entrynode/stop.go
+++ b/internal/entrynode/stop.go
@@ -12,8 +12,9 @@
 	// fails.
 	readinessPropagation = 2500 * time.Millisecond
 	// requestAcceptPeriod is how long a stopping process accepts requests. Later requests might not finish within the
-	// grace period.
-	requestAcceptPeriod = 3 * time.Second
+	// grace period. It is shorter than the 3 s for which load balancers have to expect that, because the signal may arrive
+	// late.
+	requestAcceptPeriod = 2750 * time.Millisecond
 	// finishMargin is how long before the end of the grace period requests that have not arrived completely are rejected, and
 	// responses are sent that wait for an earlier one.
 	finishMargin = 200 * time.Millisecond
