--- a/internal/entrynode/stop.go
+++ b/internal/entrynode/stop.go
@@ -43,10 +43,10 @@
 	}
 }
 
-// shutdown shuts the process down gracefully: running requests finish, queued ones that cannot are refused, client connections are closed after their next
-// response, and idle connections are closed once the load balancer sends no new ones. At the end, responses that wait
-// behind a running request are sent. The elected gateway stays until
-// it has resigned, at most until the end of the grace period.
+// shutdown shuts the process down gracefully: running requests finish, queued ones that cannot are refused, client
+// connections are closed after their next response, and idle connections are closed once the load balancer sends no new
+// ones. At the end, responses that wait behind a running request are sent. The elected gateway stays until it has resigned,
+// at most until the end of the grace period.
 func (n *Node) shutdown() {
 	started := time.Now()
 	n.stopping.Store(true)
