entry: discard what crosses the end of a connection

Cause: the reader stopped at the first request that came too late or could not be read. The connection was then closed with unread bytes, which resets it and discards what the client has not received. The wait for the client to close first belonged to that reader, and a stop ended it after 25 ms.

Change: closing.go has the end of a connection in one place; after the last response, what still arrives is read and discarded, for 500 ms at most, and later deadlines do not extend that. A stop leaves such a connection alone.

--- a/internal/entry/clientconn.go
+++ b/internal/entry/clientconn.go
@@ -15,10 +15,7 @@
 	// idleMargin is how much longer a connection is kept open than the idle timeout that clients are told.
 	idleMargin = 2 * time.Second
 	// writeTimeout limits how long writing a response to a client may take.
-	writeTimeout = 5 * time.Second
-	// lingerTimeout limits the wait for the client to close the connection after the last response: closing it earlier
-	// could reset the connection before the client has read that response.
-	lingerTimeout   = 500 * time.Millisecond
+	writeTimeout    = 5 * time.Second
 	readBufferBytes = 4 << 10
 )
 
@@ -42,8 +39,9 @@
 	openRequests int
 	// reading is set while a request is being read.
 	reading bool
-	// lingering is set once the last response has been written.
-	lingering bool
+	// lingerUntil is set once the last response has been written, or one could not be written: from then on, what the client
+	// sends is discarded until this time.
+	lingerUntil time.Time
 	// closing is set once a response has announced that the connection closes. No further request is accepted.
 	closing bool
 }
@@ -90,6 +88,7 @@
 		r, failure := c.readRequest(limits)
 		if failure != nil {
 			c.reject(r, failure)
+			c.watchDisconnect()
 			return
 		}
 		if r == nil {
@@ -99,6 +98,7 @@
 		if !c.beginRequest() {
 			// The last response announced that the connection closes, so the client sends this request again.
 			r.memory.Release()
+			c.watchDisconnect()
 			return
 		}
 		c.server.inFlight.Add(1)
@@ -122,17 +122,16 @@
 
 // awaitRequest waits for the first byte of a request.
 func (c *clientConn) awaitRequest(limits connLimits) bool {
-	// An error also makes the next read fail.
-	_ = c.tcp.SetReadDeadline(time.Now().Add(limits.idleTimeout + idleMargin))
+	c.limitRead(limits.idleTimeout + idleMargin)
 	c.limited.N = int64(limits.maxHeaderBytes) + readBufferBytes
 	for {
 		_, err := c.reader.Peek(1)
 		if err == nil {
 			return true
 		}
-		if isTimeout(err) && c.hasOpenRequests() {
+		if isTimeout(err) && c.awaitsResponse() {
 			// A client that waits for a response is not idle.
-			_ = c.tcp.SetReadDeadline(time.Now().Add(limits.idleTimeout + idleMargin))
+			c.limitRead(limits.idleTimeout + idleMargin)
 			continue
 		}
 		if !isTimeout(err) {
@@ -142,30 +141,6 @@
 	}
 }
 
-// watchDisconnect detects that the client disconnects after its last request. It discards what the client still sends:
-// closing a connection with unread bytes would reset it before the client has read the response.
-func (c *clientConn) watchDisconnect() {
-	c.waitForDisconnect()
-	for {
-		c.limited.N = readBufferBytes
-		if _, err := c.reader.ReadByte(); err != nil {
-			if !isTimeout(err) {
-				c.cancel()
-			}
-			return
-		}
-	}
-}
-
-// waitForDisconnect removes the read deadline unless the last response has been written.
-func (c *clientConn) waitForDisconnect() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.lingering {
-		_ = c.tcp.SetReadDeadline(time.Time{})
-	}
-}
-
 // reject responds to a request that could not be read, and closes the connection.
 func (c *clientConn) reject(r *request, failure *response) {
 	if !c.beginRequest() {
@@ -208,27 +183,9 @@
 	return c.closing && c.openRequests == 0
 }
 
-func (c *clientConn) hasOpenRequests() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.openRequests > 0
-}
-
-// closeIfIdle closes the connection if it has no open request and none is being read. A request whose first byte
-// arrives at the same time is still served.
-func (c *clientConn) closeIfIdle() {
+// awaitsResponse reports whether the client waits for a response that can still be written.
+func (c *clientConn) awaitsResponse() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.openRequests == 0 && !c.reading {
-		c.stopReading()
-	}
-}
-
-// abortRead makes the read of a request that has not arrived completely time out, so that it is rejected.
-func (c *clientConn) abortRead() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.reading {
-		c.stopReading()
-	}
+	return c.openRequests > 0 && c.lingerUntil.IsZero()
 }
--- a/internal/entry/readrequest.go
+++ b/internal/entry/readrequest.go
@@ -41,8 +41,7 @@
 func (c *clientConn) readRequest(limits connLimits) (*request, *response) {
 	r := &request{responded: make(chan *response, 1), memory: c.server.memory.Account()}
 	r.http = &http.Request{Method: http.MethodGet}
-	// An error in setting a deadline also makes the next read fail.
-	_ = c.tcp.SetReadDeadline(time.Now().Add(limits.headerTimeout))
+	c.limitRead(limits.headerTimeout)
 	c.limited.N = int64(limits.maxHeaderBytes) + readBufferBytes
 	parsed, err := http.ReadRequest(c.reader)
 	if err != nil {
@@ -59,7 +58,7 @@
 			return nil, nil
 		}
 	}
-	_ = c.tcp.SetReadDeadline(time.Now().Add(bodyTimeout))
+	c.limitRead(bodyTimeout)
 	c.limited.N = maxFramedBytes(limits.maxBodyBytes)
 	return c.readBody(r, limits)
 }
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -21,7 +21,7 @@
 		if err != nil {
 			failed = true
 			c.cancel()
-			c.stopReading()
+			c.linger(0)
 			continue
 		}
 		if closes {
@@ -47,18 +47,3 @@
 	_, err := c.tcp.Write(resp.encode(r.http.Method))
 	return err
 }
-
-// shutdownWrite closes the sending side and lets the reader wait until the client closes the connection.
-func (c *clientConn) shutdownWrite() {
-	// An error means that the client has already disconnected.
-	_ = c.tcp.CloseWrite()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lingering = true
-	_ = c.tcp.SetReadDeadline(time.Now().Add(lingerTimeout))
-}
-
-// stopReading makes the pending read fail.
-func (c *clientConn) stopReading() {
-	_ = c.tcp.SetReadDeadline(time.Unix(1, 0))
-}
