--- a/internal/serverconn/endless_test.go
+++ b/internal/serverconn/endless_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"runtime"
 	"runtime/debug"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -15,44 +13,33 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/sapphireplank/sapphireplank/internal/bytebudget"
+	"github.com/sapphireplank/sapphireplank/internal/endless"
 )
 
-// endless writes a beginning and then a part again and again until the connection is closed.
-func endless(beginning, part string, pause time.Duration) script {
-	if pause == 0 {
-		part = strings.Repeat(part, 1+4096/len(part))
-	}
+// endlessScript runs a reply that does not end.
+func endlessScript(reply endless.Reply) script {
 	return func(conn *net.TCPConn, requests <-chan *http.Request) {
 		<-requests
-		_, err := io.WriteString(conn, beginning)
-		for err == nil {
-			_, err = io.WriteString(conn, part)
-			time.Sleep(pause)
-		}
+		// The write fails once the connection is closed.
+		_ = reply.Send(conn)
 	}
 }
 
-// Bytes without end, by where in a response they are.
-var endlessResponses = map[string]script{
-	"status line":       endless("HTTP/1.1 200 ", "x", 0),
-	"header lines":      endless("HTTP/1.1 200 OK\r\n", "A: b\r\n", 0),
-	"one header line":   endless("HTTP/1.1 200 OK\r\nA: ", "b", 0),
-	"interim responses": endless("", "HTTP/1.1 103 Early Hints\r\n\r\n", 0),
-	"answers of others": endless("", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nok", 0),
-	"body":              endless("HTTP/1.1 200 OK\r\nId: a\r\n\r\n", "body", 0),
-	"announced length":  endless("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 99999999999\r\n\r\n", "body", 0),
-	"chunks":            endless("HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nb\r\n", 0),
-	"chunk extensions":  endless("HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n1", ";e=f", 0),
-	"chunk size":        endless("HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n", "0", 0),
-	"trailers":          endless("HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n", 0),
-	"one byte a time":   endless("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9999\r\n\r\n", "b", 20*time.Millisecond),
-	"no response":       endless("", "\x00", 0),
+// endlessResponses returns responses without end by name.
+func endlessResponses() map[string]script {
+	scripts := map[string]script{
+		"answers of others": endlessScript(endless.Responses("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nok")),
+	}
+	for _, reply := range endless.Replies("Id: a\r\n") {
+		scripts[reply.Name] = endlessScript(reply)
+	}
+	return scripts
 }
 
 // Guards against a request that does not end, or counts as not sent, because its server sends bytes without end, and
 // against a connection that stays open.
 func TestEndlessResponses(t *testing.T) {
-	for name, run := range endlessResponses {
+	for name, run := range endlessResponses() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			closed := make(chan struct{})
@@ -84,7 +71,7 @@
 	settings := Settings{MaxIdle: time.Minute, MaxIdleAtMostOnce: time.Minute, MaxResponseBodyBytes: bodyMemory}
 	var requests sync.WaitGroup
 	for range servers {
-		pool, _ := startServerWith(t, settings, endlessResponses["body"])
+		pool, _ := startServerWith(t, settings, endlessResponses()["body"])
 		requests.Go(func() {
 			account := budget.Account()
 			defer account.Release()
