directory: end the word of a server without a start time with its entry

Cause: the notice is kept by incarnation, and nothing distinguishes two incarnations without a start time. docs/design.md says that the word ends with the entry, as it does in package dispatch.

Measured: TestNoticeEndsWithEntry failed before, and passes.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -108,10 +108,13 @@
 	e.removeAt = d.lastStoreOutage + removalGrace
 }
 
-// delete removes an entry and remembers it.
+// delete removes an entry and remembers it. The word of a server without a start time ends with its entry.
 func (d *Directory) delete(now time.Duration, id string, e *entry) {
 	delete(d.entries, id)
 	d.removed[id] = removal{at: now, server: e.server}
+	if e.server.StartedAtMs == 0 {
+		delete(d.leaving, e.server.Incarnation())
+	}
 }
 
 // Replace sets the contents of the directory to a complete listing of the store. Like those of Put, the changes were made
--- a/internal/directory/leaving_test.go
+++ b/internal/directory/leaving_test.go
@@ -61,3 +61,20 @@
 		t.Errorf("%d servers are remembered", len(d.leaving))
 	}
 }
+
+// Guards against a word of a server without a start time that outlives it: nothing distinguishes its next process, which then
+// counted as leaving. With a start time, the word outlives the removal.
+func TestNoticeEndsWithEntry(t *testing.T) {
+	for startedAtMs, want := range map[int64]bool{0: false, 10: true} {
+		d := New()
+		server := Server{ID: "a", StartedAtMs: startedAtMs, Sequence: 1}
+		d.Put(0, 0, server)
+		d.MarkLeaving(time.Second, server.Incarnation())
+		d.Remove(2*time.Second, "a")
+		server.Sequence = 2
+		d.Put(3*time.Second, 3*time.Second, server)
+		if got, _ := d.Lookup("a"); got.Draining != want {
+			t.Errorf("start time %d: draining %v, want %v", startedAtMs, got.Draining, want)
+		}
+	}
+}
--- a/internal/serverstate/state.go
+++ b/internal/serverstate/state.go
@@ -102,13 +102,11 @@
 
 // drainingSince returns since when the server leaves, and whether it does.
 func (s *State) drainingSince() (time.Duration, bool) {
-	switch {
-	case s.registered.Draining && s.notice.Leaving:
-		return min(s.registered.DrainingSince, s.notice.LeavingSince), true
-	case s.registered.Draining:
-		return s.registered.DrainingSince, true
+	registered := s.registered
+	if s.notice.Leaving {
+		registered.MarkLeaving(s.notice.LeavingSince)
 	}
-	return s.notice.LeavingSince, s.notice.Leaving
+	return registered.DrainingSince, registered.Draining
 }
 
 // WarmingUp reports whether the server has less capacity than later.
