ownership: model check with entries of servers; keep keys of orders under way

The random histories were told of restarts; they did not play how a gateway learns of them.

Change, net: TestHistoriesWithEntries lets servers write entries to a store that carries out writes up to 12 s late, out of order and repeatedly, over incarnations at two addresses a server, with orders lost, late and doubled and replaced processes that go on. Checked: one incarnation holds a key, planning ends, all keys are served at the end. directory.Restarted is the decision that the control plane and the model share.

A server ran at another address and returned to the first within the time that a fencing grant was under way; its keys had been freed, since its former incarnation had ended.

--- a/internal/controller/updates.go
+++ b/internal/controller/updates.go
@@ -159,20 +159,21 @@
 // entry is outdated. Assigners whose table is still being loaded need not know, because they treat the owners in it as
 // running.
 func (c *Controller) observeServer(server directory.Server) {
-	previous, known := c.directory.Lookup(server.ID)
 	if c.directory.IsOutdated(c.Clock(), server) {
+		known, _ := c.directory.Lookup(server.ID)
 		c.Log.WithFields(logrus.Fields{
 			"server": server.ID, "started_ms": server.StartedAtMs, "sequence": server.Sequence, "draining": server.Draining,
-			"known_started_ms": previous.StartedAtMs, "known_sequence": previous.Sequence,
+			"known_started_ms": known.StartedAtMs, "known_sequence": known.Sequence,
 		}).Info("entry of a backend server is older than what is known; ignored")
 		return
 	}
-	if !known || previous.StartedAtMs == server.StartedAtMs {
+	previous, restarted := c.directory.Restarted(c.Clock(), server)
+	if !restarted {
 		return
 	}
 	for _, a := range c.assigners {
 		if a.assigner != nil {
-			a.assigner.MarkRestarted(holderOf(previous.Server), holderOf(server))
+			a.assigner.MarkRestarted(holderOf(previous), holderOf(server))
 		}
 	}
 }
--- a/internal/directory/order.go
+++ b/internal/directory/order.go
@@ -38,6 +38,16 @@
 	return ok && !removed.server.precedes(server)
 }
 
+// Restarted returns the known incarnation of a server that an entry shows to have been replaced by a later one. It returns
+// false if the entry is outdated, or describes the known incarnation.
+func (d *Directory) Restarted(now time.Duration, server Server) (Server, bool) {
+	known, ok := d.entries[server.ID]
+	if !ok || d.IsOutdated(now, server) || known.server.StartedAtMs == server.StartedAtMs {
+		return Server{}, false
+	}
+	return known.server, true
+}
+
 // ignore records that the store contains an outdated entry.
 func (d *Directory) ignore(now time.Duration, server Server) {
 	ignored, known := d.outdated[server.ID]
--- a/internal/ownership/assigner.go
+++ b/internal/ownership/assigner.go
@@ -89,12 +89,16 @@
 func (a *Assigner) MarkUnrecorded() { a.lastSeq++ }
 
 // MarkTerminated records that an incarnation of a backend server has terminated and that no other incarnation of the
-// server receives orders at its address. It no longer holds any keys.
+// server receives orders at its address. It no longer holds any keys. A grant that is under way may still be accepted by an
+// incarnation that starts at the address before it arrives.
 func (a *Assigner) MarkTerminated(holder Holder) {
 	a.terminated[incarnationOf(holder)] = true
 	for _, r := range a.rows {
+		if r.owner.SameIncarnation(holder) && r.inFlight {
+			r.underWay = true
+		}
 		for _, g := range r.formerGrants {
-			if g.holder.SameIncarnation(holder) {
+			if g.holder.SameIncarnation(holder) && !g.fenceInFlight() {
 				g.heldUntil = 0
 			}
 		}
--- a/internal/ownership/formergrant.go
+++ b/internal/ownership/formergrant.go
@@ -52,3 +52,6 @@
 func (g *formerGrant) awaits(server Holder, token Token) bool {
 	return g.inFlight && g.holder.ID == server.ID && g.token == token
 }
+
+// fenceInFlight reports whether a fencing grant awaits its result.
+func (g *formerGrant) fenceInFlight() bool { return g.inFlight && g.unfenced }
--- a/internal/ownership/history_test.go
+++ b/internal/ownership/history_test.go
@@ -42,6 +42,8 @@
 	era uint64
 	// replacedAt is when another process was elected. Grants sent to servers that started later do not arrive.
 	replacedAt time.Duration
+	// follower is what the process knows of the servers, if the history has entries.
+	follower *follower
 }
 
 // history is one randomized simulation.
@@ -64,6 +66,8 @@
 	restores     bool
 	// sameAddress is true if a restarted server receives the orders for its former incarnations.
 	sameAddress bool
+	// entries is the store of the servers' entries, from which the processes learn of restarts. Without it, they are told.
+	entries *entryStore
 }
 
 func (h *history) schedule(wait time.Duration, do func()) {
@@ -96,6 +100,9 @@
 		process.assigner = NewAssignerFromTable(settings, h.table, h.now)
 	}
 	h.processes[h.term] = process
+	if h.entries != nil {
+		process.follower = newFollower(h.now, h.entries)
+	}
 }
 
 // hostOf returns the host of an elected process. Every process has its own host.
@@ -154,6 +161,9 @@
 // receiver returns the running server that receives orders for a holder, or nil if there is none.
 func (h *history) receiver(holder Holder) *simServer {
 	i := slices.IndexFunc(h.servers, func(s *simServer) bool {
+		if h.entries != nil {
+			return s.up && s.holder.Addr == holder.Addr
+		}
 		if h.sameAddress {
 			return s.up && s.holder.ID == holder.ID
 		}
@@ -167,7 +177,7 @@
 
 // send delivers an order, unless the order or its response is lost.
 func (h *history) send(p *simProcess, order Order) {
-	respond := func(err error, handover string) {
+	respond := func(handover string, err error) {
 		h.schedule(0, func() {
 			p.assigner.HandleResult(Result{Order: order, Err: err, Answer: Answer{Handover: handover}, At: h.now})
 		})
@@ -185,11 +195,18 @@
 	if responseLost {
 		timeout()
 	}
-	h.schedule(h.randomDelay(historySettings.OrderTimeout), func() {
+	delay := h.randomDelay(historySettings.OrderTimeout)
+	h.schedule(delay, func() {
 		handover, err := h.execute(p, order, responseLost)
-		if !responseLost {
-			respond(err, handover)
+		if responseLost {
+			return
 		}
+		if h.entries == nil || !h.faultOccurs() {
+			respond(handover, err)
+			return
+		}
+		// The order arrives twice, and is answered after its second copy.
+		h.schedule(h.randomDelay(historySettings.OrderTimeout-delay), func() { respond(h.execute(p, order, false)) })
 	})
 }
 
@@ -253,6 +270,10 @@
 
 // restart replaces a server by a new incarnation. Each assigner is told of it with a probability of one half.
 func (h *history) restart(s *simServer) {
+	if h.entries != nil {
+		h.restartWithEntry(s)
+		return
+	}
 	s.up = false
 	replacement := &simServer{
 		holder:        Holder{ID: s.holder.ID, StartedAtMs: s.holder.StartedAtMs + 1, Addr: s.holder.Addr},
@@ -280,10 +301,26 @@
 	if row.Moving {
 		keys = row.Keys
 	}
-	p.assigner.Apply([]Move{{Keys: keys, To: h.randomUpServer()}}, h.now)
+	to, ok := h.moveTarget(p)
+	if !ok {
+		return
+	}
+	p.assigner.Apply([]Move{{Keys: keys, To: to}}, h.now)
 	p.assigner.RefreshRows(6)
 }
 
+// moveTarget returns a server to which a process may move keys: a running one, or one that it takes for running.
+func (h *history) moveTarget(p *simProcess) (Holder, bool) {
+	if h.entries == nil {
+		return h.randomUpServer(), true
+	}
+	candidates := p.candidates()
+	if len(candidates) == 0 {
+		return Holder{}, false
+	}
+	return candidates[h.random.IntN(len(candidates))], true
+}
+
 func (h *history) randomUpServer() Holder {
 	for {
 		if s := h.servers[h.random.IntN(len(h.servers))]; s.up {
@@ -304,6 +341,9 @@
 		}
 		d.do()
 	}
+	if h.entries != nil {
+		h.advanceEntries()
+	}
 	for _, term := range slices.Sorted(maps.Keys(h.processes)) {
 		p := h.processes[term]
 		if h.now > p.renewsUntil {
@@ -345,7 +385,9 @@
 		table, _ := p.assigner.Table(h.now)
 		for _, row := range table.Rows {
 			if row.Owner.IsZero() || !h.server(row.Owner).up {
-				p.assigner.Apply([]Move{{Keys: row.Keys, To: h.randomUpServer()}}, h.now)
+				if to, ok := h.moveTarget(p); ok {
+					p.assigner.Apply([]Move{{Keys: row.Keys, To: to}}, h.now)
+				}
 			}
 		}
 		p.assigner.RefreshRows(1 << 20)
--- a/internal/ownership/moves.go
+++ b/internal/ownership/moves.go
@@ -40,8 +40,11 @@
 	}
 	target := a.splitRow(i, move.Keys)
 	receiver, received := a.receiver(target.owner)
-	if received {
+	switch {
+	case received:
 		target.addFormerGrant(receiver)
+	case target.underWay:
+		target.addFormerGrant(target.owner)
 	}
 	target.clearOwnerGrant()
 	target.owner = move.To
--- a/internal/ownership/results.go
+++ b/internal/ownership/results.go
@@ -42,10 +42,15 @@
 			g.unconfirmedUntil = g.heldUntil
 		case errors.Is(result.Err, ErrServerReplaced):
 			a.MarkTerminated(result.Order.Grant.Server)
+		case notAccepted(result.Err) && a.HasTerminated(result.Order.Grant.Server):
+			g.heldUntil = 0
 		}
 	}
 }
 
+// notAccepted reports whether an order that failed was certainly not accepted.
+func notAccepted(err error) bool { return errors.Is(err, ErrNotSent) || errors.Is(err, ErrRejected) }
+
 // handleGrantResult processes the result of a grant sent to the owner.
 func (a *Assigner) handleGrantResult(r *rowState, result Result) {
 	r.inFlight = false
@@ -58,8 +63,10 @@
 	case errors.Is(result.Err, ErrServerReplaced):
 		a.MarkTerminated(result.Order.Grant.Server)
 		r.heldUntil, r.unconfirmedUntil = 0, 0
+		r.underWay = false
 		r.nextSend = result.At + a.settings.RetryInterval
-	case errors.Is(result.Err, ErrNotSent), errors.Is(result.Err, ErrRejected):
+	case notAccepted(result.Err):
+		r.underWay = false
 		// Only earlier grants count.
 		r.heldUntil = min(r.heldUntil, result.Order.heldBefore)
 		r.nextSend = result.At + a.settings.RetryInterval
--- a/internal/ownership/row.go
+++ b/internal/ownership/row.go
@@ -20,6 +20,9 @@
 	// inherited is true until the owner has confirmed the first grant of this assigner. Until then, an assigner elected
 	// earlier may still renew the owner's grant.
 	inherited bool
+	// underWay is true if the owner's incarnation ended while a grant to it was under way, which may have been accepted by
+	// another one at its address.
+	underWay bool
 	// tokenOutdated is true if the owner has seen a higher token.
 	tokenOutdated bool
 }
@@ -86,7 +89,7 @@
 // clearOwnerGrant resets the state of the grants of the owner before the row gets another one.
 func (r *rowState) clearOwnerGrant() {
 	r.heldUntil, r.unconfirmedUntil = 0, 0
-	r.inherited, r.tokenOutdated = false, false
+	r.inherited, r.tokenOutdated, r.underWay = false, false, false
 }
 
 // addFormerGrant records the grant of the current owner under the incarnation that received it, so that the keys are
--- a/internal/ownership/simserver_test.go
+++ b/internal/ownership/simserver_test.go
@@ -20,6 +20,9 @@
 	startedAt     time.Duration
 	grants        []heldGrant
 	highestTokens map[int]Token
+	// sequence numbers the entries that the server writes, the next one at nextReport.
+	sequence   uint64
+	nextReport time.Duration
 }
 
 func (s *simServer) owns(key int, now time.Duration) bool {
