entry: break off a slow attempt only if a server has room for the next

Cause: an attempt that takes longer than twice the objective was canceled, and the next one was then refused because no server had room.

Change: the dispatcher is asked first; without room the attempt goes on, and is looked at again after the expected response time.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -246,6 +246,19 @@
 	return w, nil, nil
 }
 
+// HasRoom reports whether a request would be placed now.
+func (d *Dispatcher) HasRoom(request *AcquireRequest) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.services[request.Service]
+	if s == nil {
+		return false
+	}
+	now := d.clock()
+	ahead := s.countAhead(request, now)
+	return ahead == 0 && s.choose(request, now, ahead).server != nil
+}
+
 // countAhead returns the number of queued requests that are served before the given one.
 func (s *service) countAhead(request *AcquireRequest, now time.Duration) int {
 	count := 0
--- a/internal/entry/attempttimer.go
+++ b/internal/entry/attempttimer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,8 +10,8 @@
 )
 
 // attemptTimer cancels an attempt of an idempotent request that takes much longer than expected, so that the request is
-// sent again: the response may have been lost. It does so only if the retry budget allows the retry, and never while
-// the gateway is shutting down.
+// sent again: the response may have been lost. It does so only if a server has room for the retry and the retry budget
+// allows it, and never while the gateway is shutting down.
 type attemptTimer struct {
 	// mu protects the fields below.
 	mu      sync.Mutex
@@ -28,18 +29,30 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.timer = time.AfterFunc(timeout, func() {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		if t.stopped || f.handler.ShuttingDown() || !f.takeRetry() {
-			return
-		}
-		f.retryGranted = true
-		cancel()
-	})
+	t.timer = time.AfterFunc(timeout, func() { f.attemptTimedOut(t, reservation, cancel) })
 	return t
 }
 
+// attemptTimedOut cancels an attempt, or checks again later if no server has room for a further one.
+func (f *forwarder) attemptTimedOut(t *attemptTimer, reservation *dispatch.Reservation, cancel context.CancelFunc) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped || f.handler.ShuttingDown() || f.timeLeft() < reservation.Expected {
+		return
+	}
+	further := f.acquireRequest
+	further.Tried = append(slices.Clip(further.Tried), reservation.Server.Incarnation())
+	if !f.handler.Dispatcher.HasRoom(&further) {
+		t.timer.Reset(reservation.Expected)
+		return
+	}
+	if !f.takeRetry() {
+		return
+	}
+	f.retryGranted = true
+	cancel()
+}
+
 // stop stops the timer. The attempt is not canceled afterwards.
 func (t *attemptTimer) stop() {
 	t.mu.Lock()
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -88,6 +89,23 @@
 	// budgets are the retry budgets.
 	budgets *RetryBudgets
 	view    atomic.Pointer[snapshot.Snapshot]
+	// dispatcher places the requests.
+	dispatcher *dispatch.Dispatcher
+}
+
+// addRoute adds a route, and gives the servers this many slots.
+func (f *fixture) addRoute(route routing.Route, slots int) {
+	view := *f.view.Load()
+	config := *view.Routes.Config()
+	config.Routes = append(slices.Clip(config.Routes), route)
+	service := *view.Services["s"]
+	service.Servers = slices.Clone(service.Servers)
+	for i := range service.Servers {
+		service.Servers[i].Slots = slots
+	}
+	view.Routes, view.Services = routing.NewTable(&config), map[string]*snapshot.Service{"s": &service}
+	f.view.Store(&view)
+	f.dispatcher.Update(&view)
 }
 
 const (
@@ -135,6 +153,7 @@
 	f.view.Store(&snapshot.Snapshot{
 		Routes: routing.NewTable(config), Services: map[string]*snapshot.Service{"s": service}, Gateways: 1,
 	})
+	f.dispatcher = dispatcher
 	dispatcher.Update(f.view.Load())
 	f.server = New(Options{
 		Snapshot:     f.view.Load,
