soak: second copies, planned stops with full queues, answers without end

Change: the stand-in's servers send answers twice on connections that are in use again, and replies that do not end, to orders and to requests. After the random faults, the gateways are stopped in turn beside a slow service with full queues and clients that send several requests at once. The grace period is the platform's 6 s.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -23,7 +23,7 @@
 		return nil, err
 	}
 	options.Advertise = proxy.Addr()
-	options.Rate, options.Notices = &standin.RateCheck{}, &standin.Notices{}
+	options.Rate, options.Notices, options.Answers = &standin.RateCheck{}, &standin.Notices{}, &standin.AnswerFaults{}
 	b := &backend{options: options, proxy: proxy}
 	return b, b.start()
 }
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -24,6 +24,10 @@
 	testHost  = "soak.example"
 	keyedPath = "/keyed/"
 	oncePath  = "/once/"
+	// singlePath leads to a service with one server, to which requests are sent again that it refused. One in singleInterval
+	// requests that must be executed at most once goes there.
+	singlePath     = "/single/"
+	singleInterval = 6
 	// One in uploadInterval requests that must be executed at most once has a long body, of up to maxUploadBytes.
 	uploadInterval = 8
 	maxUploadBytes = 90_000
@@ -65,30 +69,42 @@
 		return false
 	}
 	c.counts.sent.Add(1)
+	sentAt := time.Now()
 	response, err := httpClient.Do(request)
 	if err != nil {
+		// The request may have crossed the end of an idle connection, so it counts only if it was executed.
+		c.checker.RecordNoAnswer(id, sentAt, 0, true, requestTimeout)
 		c.counts.failed.Add(1)
 		return false
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
+		c.checker.RecordNoAnswer(id, sentAt, 0, true, requestTimeout)
 		c.counts.failed.Add(1)
 		return false
 	}
-	switch response.StatusCode {
-	case http.StatusOK:
-		c.counts.served.Add(1)
-		c.checker.CheckResponse(id, response.Header.Get(platform.HeaderRequestID), response.Header.Get(platform.HeaderSignature), string(body))
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		c.counts.refused.Add(1)
-		c.checker.RecordRefusal(id)
-	default:
-		c.counts.failed.Add(1)
+	recordResponse(c.checker, c.counts, id, response, string(body))
+	if response.Header.Get(platform.HeaderSignature) == "" {
+		c.checker.RecordNoAnswer(id, sentAt, response.StatusCode, false, requestTimeout)
 	}
 	return true
 }
 
+// recordResponse counts and checks a response.
+func recordResponse(checker *Checker, total *counts, id string, response *http.Response, body string) {
+	switch {
+	case response.StatusCode == http.StatusOK:
+		total.served.Add(1)
+		checker.CheckResponse(id, response.Header.Get(platform.HeaderRequestID), response.Header.Get(platform.HeaderSignature), body)
+	case isRefusal(response.StatusCode):
+		total.refused.Add(1)
+		checker.RecordRefusal(id)
+	default:
+		total.failed.Add(1)
+	}
+}
+
 // newRequest returns a random request and its ID: either an idempotent request for a key, or a request that must be
 // executed at most once.
 func (c *client) newRequest() (*http.Request, string, error) {
@@ -101,8 +117,12 @@
 		if c.random.IntN(uploadInterval) == 0 {
 			body += strings.Repeat(".", c.random.IntN(maxUploadBytes))
 		}
+		path := oncePath
+		if c.random.IntN(singleInterval) == 0 {
+			path = singlePath
+		}
 		c.checker.RecordRequest(id, gateway.name, atMostOnce, int64(len(body)))
-		request, err := http.NewRequest(http.MethodPost, baseURL+oncePath, strings.NewReader(body))
+		request, err := http.NewRequest(http.MethodPost, baseURL+path, strings.NewReader(body))
 		if err != nil {
 			return nil, "", err
 		}
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -23,6 +23,11 @@
 	slotsPerBackend   = 4
 	runTime           = 20 * time.Millisecond
 	serverEntryTTL    = 1500 * time.Millisecond
+
+	// The slow service has too little room for its clients, so gateways queue their requests.
+	slowBackendCount = 2
+	slowRunTime      = 300 * time.Millisecond
+	longRunTime      = 4400 * time.Millisecond
 )
 
 // deployment is the system under test. The gateways are separate processes; the store and the backend servers run in
@@ -32,6 +37,8 @@
 	store    *kv.MemoryStore
 	gateways []*gateway
 	backends []*backend
+	// single is the only backend server of its service.
+	single *backend
 	// cleanups release resources. They run in reverse order.
 	cleanups []func()
 
@@ -45,8 +52,8 @@
 const configFormat = `{"version":"r%d",
 "routes":{"columns":["name","host","prefix","kind","timeoutMs","targetLatencyMs","priority","maxAttempts","service"],
 "rows":[["keyed","%s","%s","safe",1200,300,1,2,"keyed"],["once","%s","%s","unsafe",1200,300,0,2,"once"],
-["other","%s","%s","safe",1200,300,1,2,"empty"]]},
-"services":{"columns":["name","healthPath","maxConns","sharded"],"rows":[["keyed","/healthz",100,true],["once","/healthz",100,null],["empty","/healthz",100,null]]},
+["single","%s","%s","unsafe",1200,300,0,2,"single"],["slow","%s","%s","safe",8000,1500,1,2,"slow"],["other","%s","%s","safe",1200,300,1,2,"empty"]]},
+"services":{"columns":["name","healthPath","maxConns","sharded"],"rows":[["keyed","/healthz",100,true],["once","/healthz",100,null],["single","/healthz",100,null],["slow","/healthz",100,null],["empty","/healthz",100,null]]},
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
 
 // newDeployment starts a deployment that keeps settings and logs in a directory. The caller must close the deployment
@@ -70,6 +77,15 @@
 			return d, err
 		}
 	}
+	if err := d.addBackend("single", 0, false); err != nil {
+		return d, err
+	}
+	d.single = d.backends[len(d.backends)-1]
+	for i := range slowBackendCount {
+		if err := d.addBackend(slowService, i, false); err != nil {
+			return d, err
+		}
+	}
 	for i := range gatewayCount {
 		if err := d.addGateway(directory, program, storeAddr, i); err != nil {
 			return d, err
@@ -101,18 +117,22 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.configVersion++
-	text := fmt.Sprintf(configFormat, d.configVersion, testHost, keyedPath, testHost, oncePath, testHost, path)
+	text := fmt.Sprintf(configFormat, d.configVersion, testHost, keyedPath, testHost, oncePath, testHost, singlePath, testHost, slowPath, testHost, path)
 	put := kv.Put{Key: platform.ConfigKey, Value: []byte(text)}
 	_, err := d.store.Commit(context.Background(), kv.Txn{Puts: []kv.Put{put}})
 	return errors.Wrap(err, "write the configuration")
 }
 
 func (d *deployment) addBackend(service string, index int, sharded bool) error {
-	b, err := startBackend(standin.ServerOptions{
+	options := standin.ServerOptions{
 		ID: fmt.Sprintf("%s-%d", service, index), Service: service, Zone: zoneName(index), Slots: slotsPerBackend, Sharded: sharded,
 		RunTime: runTime, Store: d.store, EntryTTL: serverEntryTTL, Observer: d.checker,
 		ResetWhenFull: index%2 == 1,
-	})
+	}
+	if service == slowService {
+		options.RunTime, options.LongRunTime, options.ResetWhenFull = slowRunTime, longRunTime, false
+	}
+	b, err := startBackend(options)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"syscall"
 	"time"
+
+	"github.com/sapphireplank/sapphireplank/platform/standin"
 )
 
 // fault is a fault of one component, or of the whole deployment.
@@ -42,6 +44,7 @@
 	limit := minLimit + random.Float64()*(maxLimit-minLimit)
 	retryAfter := randomDuration(random, minRetryAfter, maxRetryAfter)
 	lateness := randomDuration(random, minLateness, maxLateness)
+	form := 1 + random.IntN(standin.EndlessForms)
 	faults := []fault{
 		d.gatewayFault("process paused", g, func() error { return d.pauseGateway(g, duration) }),
 		d.gatewayFault("process killed", g, func() error { return g.restart(syscall.SIGKILL, restartDelay) }),
@@ -56,6 +59,9 @@
 		{"server limits its requests", serverID, func() error { return limitRequests(b, limit, duration) }},
 		{"server says that it leaves", serverID, func() error { return d.leave(b, duration, restartDelay) }},
 		{"server wants no requests", serverID, func() error { return d.turnAway(b, duration, retryAfter) }},
+		{"server repeats answers", d.single.options.ID, func() error { return repeatAnswers(d.single, duration) }},
+		{"server answers orders without end", serverID, func() error { return answerEndlessly(b.options.Answers.AnswerOrders, form, duration) }},
+		{"server answers requests without end", serverID, func() error { return answerEndlessly(b.options.Answers.AnswerRequests, form, duration) }},
 		{"server restarted, late entry", serverID, func() error { return d.restartWithLateEntry(b, restartDelay, lateness) }},
 		{"store restored", wholeDeployment, func() error { return d.restoreStore(duration/awayShare, age) }},
 		{"server restarted", serverID, func() error { return b.restart(restartDelay) }},
--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -46,9 +46,12 @@
 ratio = 0.2
 slack = 60
 [stop]
-grace_s = 3
+grace_s = 6
 `
 
+// stopGrace is the grace period of the settings.
+const stopGrace = 6 * time.Second
+
 // newGateway writes the settings file of a gateway. It does not start the process.
 func newGateway(directory, program, name, zone string, storeProxy *Proxy) (*gateway, error) {
 	var ports [3]string
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -74,6 +74,9 @@
 		return err
 	}
 	recoveryErr := errors.CombineErrors(awaitServing(&total, recoveryTimeout), d.checkConfig())
+	if err := d.planWork(options.Seed, &total); err != nil {
+		return err
+	}
 	cancel()
 	clients.Wait()
 	fmt.Fprintf(options.Output, "seed %d: %d requests, %d served, %d refused, %d failed\n",
