entry: look again for room after the attempt's timeout; repair a test

Found in reading the change: after "no room", the timer looked again after the expected response time, which may be a millisecond and would cost processor time under overload. It waits for the timeout of the attempt again.

--- a/internal/entry/attempttimer.go
+++ b/internal/entry/attempttimer.go
@@ -14,8 +14,10 @@
 // allows it, and never while the gateway is shutting down.
 type attemptTimer struct {
 	// mu protects the fields below.
-	mu      sync.Mutex
-	timer   *time.Timer
+	mu    sync.Mutex
+	timer *time.Timer
+	// timeout is the time after which the attempt is canceled, or looked at again.
+	timeout time.Duration
 	stopped bool
 }
 
@@ -29,6 +31,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.timeout = timeout
 	t.timer = time.AfterFunc(timeout, func() { f.attemptTimedOut(t, reservation, cancel) })
 	return t
 }
@@ -43,7 +46,7 @@
 	further := f.acquireRequest
 	further.Tried = append(slices.Clip(further.Tried), reservation.Server.Incarnation())
 	if !f.handler.Dispatcher.HasRoom(&further) {
-		t.timer.Reset(reservation.Expected)
+		t.timer.Reset(t.timeout)
 		return
 	}
 	if !f.takeRetry() {
--- a/internal/entry/attempttimer_test.go
+++ b/internal/entry/attempttimer_test.go
@@ -2,14 +2,37 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/sapphireplank/sapphireplank/internal/directory"
+	"github.com/sapphireplank/sapphireplank/internal/dispatch"
+	"github.com/sapphireplank/sapphireplank/internal/logging"
+	"github.com/sapphireplank/sapphireplank/internal/observe"
 	"github.com/sapphireplank/sapphireplank/internal/routing"
+	"github.com/sapphireplank/sapphireplank/internal/serverconn"
+	"github.com/sapphireplank/sapphireplank/internal/snapshot"
 )
 
+// idleDispatcher returns a dispatcher whose clock stands still, with a service "s" that has an idle server.
+func idleDispatcher() *dispatch.Dispatcher {
+	dispatcher := dispatch.New(dispatch.Options{
+		Zone: "z", Drain: time.Second, Clock: func() time.Duration { return 0 }, Log: logging.Discard().Component("dispatch"), Metrics: observe.New(),
+		NewPool: func(addr string) *serverconn.Pool {
+			return serverconn.NewPool(addr, &net.Dialer{}, testHeaders{}, serverconn.Settings{})
+		},
+	})
+	server := directory.RegisteredServer{Server: directory.Server{ID: "b", Service: "s", Addr: "127.0.0.1:1", Zone: "z", Slots: 4}}
+	service := &snapshot.Service{Service: routing.Service{Name: "s"}, Servers: []directory.RegisteredServer{server}}
+	dispatcher.Update(&snapshot.Snapshot{
+		Routes: routing.NewTable(&routing.Config{Version: 1}), Services: map[string]*snapshot.Service{"s": service}, Gateways: 1,
+	})
+	return dispatcher
+}
+
 // Guards against breaking off a request that its server is working on when no server has room to run it again: the client
 // would get an error long before its deadline.
 func TestAttemptGoesOnWithoutRoom(t *testing.T) {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -368,7 +368,9 @@
 // Guards against canceling an attempt for a retry that the retry budget does not allow.
 func TestAttemptTimerKeepsToRetryBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		dispatcher := idleDispatcher()
 		handler := &Handler{Options: Options{
+			Dispatcher:   dispatcher,
 			Clock:        func() time.Duration { return 0 },
 			RetryBudgets: NewRetryBudgets(retry.WindowLimits{Window: time.Minute}, func() time.Duration { return 0 }),
 			ShuttingDown: func() bool { return false },
@@ -376,7 +378,10 @@
 		}}
 		route := &routing.Route{Name: "read", Idempotent: true, MaxAttempts: 2, Target: time.Millisecond}
 		f := &forwarder{handler: handler, request: &request{}, route: route, gateways: 1}
-		f.acquireRequest.Deadline = time.Hour
+		f.acquireRequest.Service, f.acquireRequest.Deadline, f.acquireRequest.Target = "s", time.Hour, time.Second
+		if !dispatcher.HasRoom(&f.acquireRequest) {
+			t.Fatal("there is no room for a retry, which would prevent it too")
+		}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		timer := f.startAttemptTimer(&dispatch.Reservation{Expected: time.Millisecond}, cancel)
