soak: ports of gateways are not given to others

Its log: "listen for other gateways on 127.0.0.1:43939: address already in use", at the start.

Cause: the kernel gave the port, which had been free when it was checked, to a connection of another run.

--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -10,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/sapphireplank/sapphireplank/platform/standin"
 )
 
 // gateway is a process of the program under test. It has its own ports and reaches the store through its own proxy.
@@ -56,7 +57,7 @@
 func newGateway(directory, program, name, zone string, storeProxy *Proxy) (*gateway, error) {
 	var ports [3]string
 	for i := range ports {
-		port, err := freePort()
+		port, err := standin.FreePort()
 		if err != nil {
 			return nil, err
 		}
@@ -74,17 +75,6 @@
 	return g, errors.Wrap(os.WriteFile(g.settingsPath, []byte(text), 0o600), "write the gateway settings")
 }
 
-// freePort returns a port that was free when it was checked; another process may take it meanwhile.
-func freePort() (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "find a free port")
-	}
-	defer listener.Close()
-	_, port, err := net.SplitHostPort(listener.Addr().String())
-	return port, err
-}
-
 // start starts the process. The kernel kills it when the current process dies.
 func (g *gateway) start() error {
 	logFile, err := os.OpenFile(g.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
