--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -162,7 +162,7 @@
 	start := time.Now()
 	for !condition() {
 		if time.Since(start) > time.Minute {
-			c.t.Fatalf("after one minute, this condition still does not hold: %s", what)
+			c.t.Fatalf("after one minute, this condition still does not hold: %s\n%s", what, c.describe())
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
