--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -23,8 +23,8 @@
 	executionEnds map[string]time.Time
 	// abandoned holds when the gateway last broke off each request that was being executed.
 	abandoned map[string]time.Time
-	// stops are the planned stops during which requests that are cut off count.
-	stops plannedStops
+	// stoppedAt is when each gateway got the signal of its last planned stop.
+	stoppedAt map[string]time.Time
 	// atMostOnce maps each request that was sent to whether it must be executed at most once.
 	atMostOnce map[string]bool
 	// bodyBytes is the length of the body of each request that was sent.
@@ -45,7 +45,7 @@
 func NewChecker() *Checker {
 	return &Checker{
 		executions: make(map[string]int), bodyBytes: make(map[string]int64), atMostOnce: make(map[string]bool), refused: make(map[string]bool),
-		gateways: make(map[string]string), executionEnds: make(map[string]time.Time), abandoned: make(map[string]time.Time),
+		gateways: make(map[string]string), executionEnds: make(map[string]time.Time), abandoned: make(map[string]time.Time), stoppedAt: make(map[string]time.Time),
 		heldRanges: make(map[string][]standin.HeldRange),
 	}
 }
--- a/internal/soak/cutoff.go
+++ b/internal/soak/cutoff.go
@@ -58,28 +58,12 @@
 	return !late || c.sentAt.Sub(c.stoppedAt) > excusedAcceptance
 }
 
-// plannedStops are the planned stops of gateways in a time without other faults.
-type plannedStops struct {
-	// active is true while requests that are cut off count.
-	active bool
-	// at is when each gateway got its last signal.
-	at map[string]time.Time
-}
-
-// BeginPlannedWork makes requests count that a planned stop cuts off. No fault may be active.
-func (c *Checker) BeginPlannedWork() {
+// RecordPlannedStop records that a gateway gets a signal to stop, in a time without other faults. From then on, its requests
+// that are cut off count.
+func (c *Checker) RecordPlannedStop(gateway string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.stops = plannedStops{active: true, at: make(map[string]time.Time)}
-}
-
-// RecordStop records that a gateway gets a signal to stop.
-func (c *Checker) RecordStop(gateway string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.stops.active {
-		c.stops.at[gateway] = time.Now()
-	}
+	c.stoppedAt[gateway] = time.Now()
 }
 
 // RecordNoAnswer checks a request that ended without the response of a server. status is that of the gateway's own response,
@@ -87,12 +71,12 @@
 func (c *Checker) RecordNoAnswer(request string, sentAt time.Time, status int, behind bool, deadline time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.stops.active || isRefusal(status) {
+	if isRefusal(status) {
 		return
 	}
 	gateway := c.gateways[request]
 	cut := cutOff{
-		sentAt: sentAt, endedAt: time.Now(), stoppedAt: c.stops.at[gateway], executed: c.executions[request] > 0,
+		sentAt: sentAt, endedAt: time.Now(), stoppedAt: c.stoppedAt[gateway], executed: c.executions[request] > 0,
 		executionEnd: c.executionEnds[request], abandoned: c.abandoned[request], responded: status != 0, behind: behind, deadline: deadline,
 	}
 	if cut.isLost() {
--- a/internal/soak/plannedwork.go
+++ b/internal/soak/plannedwork.go
@@ -20,7 +20,6 @@
 // planWork stops the gateways in turn, with changes of the configuration, while no fault is active and the queues of the slow
 // service are full.
 func (d *deployment) planWork(seed uint64, total *counts) error {
-	d.checker.BeginPlannedWork()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var clients sync.WaitGroup
@@ -36,7 +35,7 @@
 		g := d.gateways[i]
 		delay := randomDuration(random, minRestartDelay, maxRestartDelay)
 		stop := d.gatewayFault("planned stop", g, func() error {
-			d.checker.RecordStop(g.name)
+			d.checker.RecordPlannedStop(g.name)
 			return g.restart(syscall.SIGTERM, delay)
 		})
 		stops.Go(func() { errs <- stop.inject() })
