ownership: keep a grant under way when rows are merged

The keys of the right one counted as free.

Change: the merged row has the mark if one of them had it, as for inherited.

Measured: TestMergedRowsKeepGrantUnderWay, case "right", failed before and passes.

--- a/internal/ownership/moves.go
+++ b/internal/ownership/moves.go
@@ -107,6 +107,7 @@
 	merged.heldUntil = max(left.heldUntil, right.heldUntil)
 	merged.unconfirmedUntil = max(left.unconfirmedUntil, right.unconfirmedUntil)
 	merged.inherited = left.inherited || right.inherited
+	merged.underWay = left.underWay || right.underWay
 	merged.nextSend = 0
 	merged.token = a.newToken()
 	a.markChanged(merged)
