controller: drain availability zones that the operator names

Cause: nothing read the operator's request to drain a zone.

New requests go to other zones, the keys of the zone move, owners take requests for their keys until [zones] drain_ms less a margin.

--- a/internal/controller/assign.go
+++ b/internal/controller/assign.go
@@ -198,7 +198,7 @@
 func (c *Controller) candidates(service string) []ownership.Candidate {
 	var servers []directory.RegisteredServer
 	for _, server := range c.directory.Servers() {
-		if server.Service == service && !server.Draining {
+		if server.Service == service && !server.Draining && !c.zones.Get(server.Zone).Drained {
 			servers = append(servers, server)
 		}
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -19,6 +19,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/relay"
 	"github.com/sapphireplank/sapphireplank/internal/routing"
 	"github.com/sapphireplank/sapphireplank/internal/snapshot"
+	"github.com/sapphireplank/sapphireplank/internal/zones"
 )
 
 // Options are the settings and dependencies of a controller.
@@ -87,6 +88,7 @@
 
 	// The fields below are used only by the control goroutine.
 	directory *directory.Directory
+	zones     *zones.Drains
 	config    *routing.Config
 	routes    *routing.Table
 	tables    map[string]*ownership.Table
@@ -137,6 +139,7 @@
 		reports:    newReportBuffer(),
 		aggregator: relay.NewAggregator(options.Clock),
 		directory:  directory.New(),
+		zones:      zones.New(),
 		tables:     make(map[string]*ownership.Table),
 		election:   election.New(options.Election, election.Leader{Host: options.Host, Addr: options.Addr, ID: rand.Text()}),
 		assigners:  make(map[string]*assignment),
@@ -212,6 +215,7 @@
 		c.dirty = true
 		c.serversVersion++
 	}
+	c.expireZoneDrains()
 	if c.stopping && !c.election.Acting() {
 		return
 	}
@@ -240,6 +244,7 @@
 		StoreEra:        uint64(c.election.Era()),
 		Servers:         len(c.directory.Servers()),
 		Gateways:        c.gateways.value(now),
+		DrainedZones:    len(c.zones.Drained()),
 		StoreContactAge: now - max(c.broadcasts.lastStoreContact, c.source.lastFresh),
 	}
 	if c.config != nil {
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -38,6 +38,9 @@
 	if id, ok := strings.CutPrefix(key, "servers/"); ok {
 		return EntryServer, id
 	}
+	if zone, ok := strings.CutPrefix(key, "drains/"); ok {
+		return EntryZoneDrain, zone
+	}
 	return EntryOther, ""
 }
 
--- a/internal/controller/entries.go
+++ b/internal/controller/entries.go
@@ -20,11 +20,14 @@
 	EntryOther EntryKind = iota
 	EntryConfig
 	EntryServer
+	// EntryZoneDrain exists while the operator drains an availability zone. Its value is ignored.
+	EntryZoneDrain
 )
 
 // EntryDecoder decodes the entries that operators and backend servers write to the store.
 type EntryDecoder interface {
-	// Classify returns the kind of the entry of a key and, for EntryServer, the ID of the backend server.
+	// Classify returns the kind of the entry of a key and, for EntryServer, the ID of the backend server, for EntryZoneDrain the
+	// name of the zone.
 	Classify(key string) (EntryKind, string)
 	// DecodeConfig decodes a configuration.
 	DecodeConfig(value []byte) (*routing.Config, error)
--- a/internal/controller/publish.go
+++ b/internal/controller/publish.go
@@ -28,6 +28,9 @@
 		Routes:   c.routes,
 		Services: make(map[string]*snapshot.Service),
 		Gateways: c.gateways.value(c.Clock()),
+
+		Zones:        c.zones.States(),
+		ZonesVersion: c.zones.Version(),
 	}
 	if c.config == nil {
 		return view
--- a/internal/controller/restore.go
+++ b/internal/controller/restore.go
@@ -31,6 +31,7 @@
 	c.rememberTables()
 	c.Log.WithField("era", era).WithField("known", c.asOf).Warning("store came back from an earlier copy; reading it again")
 	c.directory.RecordRestore(c.Clock())
+	c.zones.RecordRestore(c.Clock())
 	for _, a := range c.assigners {
 		a.revision = kv.Revision{}
 		if a.assigner != nil {
--- a/internal/controller/updates.go
+++ b/internal/controller/updates.go
@@ -66,6 +66,7 @@
 		c.yieldCampaign()
 	}
 	c.directory.Replace(c.Clock(), c.completeAt, servers)
+	c.applyZoneDrains(update.Items, first)
 	c.serversVersion++
 	c.observeLeader(update.AsOf, c.items[election.Key])
 	if c.election.Acting() {
@@ -128,8 +129,12 @@
 		c.observeLeader(event.Revision, item)
 		return
 	}
-	if kind, id := c.Entries.Classify(event.Key); kind == EntryServer {
-		c.applyServerEvent(id, event)
+	switch kind, name := c.Entries.Classify(event.Key); kind {
+	case EntryServer:
+		c.applyServerEvent(name, event)
+		return
+	case EntryZoneDrain:
+		c.applyZoneDrainEvent(name, event)
 		return
 	}
 	if event.Deleted {
--- a/internal/dispatch/acquire_request.go
+++ b/internal/dispatch/acquire_request.go
@@ -34,16 +34,18 @@
 
 // These reasons are also used as metric labels.
 const (
-	ReasonNoServer   Reason = "no server"
-	ReasonNoOwner    Reason = "no owner"
-	ReasonMoving     Reason = "key moves"
-	ReasonSuspended  Reason = "owner suspended"
-	ReasonLeaving    Reason = "servers leave"
-	ReasonHeldOff    Reason = "servers hold off"
-	ReasonFull       Reason = "servers full"
-	ReasonLimited    Reason = "servers limit requests"
-	ReasonStopping   Reason = "gateway stops"
-	ReasonClientLeft Reason = "caller left"
+	ReasonNoServer  Reason = "no server"
+	ReasonNoOwner   Reason = "no owner"
+	ReasonMoving    Reason = "key moves"
+	ReasonSuspended Reason = "owner suspended"
+	ReasonLeaving   Reason = "servers leave"
+	// ReasonZoneDrained means that the operator drains the zones of all servers that could take the request.
+	ReasonZoneDrained Reason = "zones drained"
+	ReasonHeldOff     Reason = "servers hold off"
+	ReasonFull        Reason = "servers full"
+	ReasonLimited     Reason = "servers limit requests"
+	ReasonStopping    Reason = "gateway stops"
+	ReasonClientLeft  Reason = "caller left"
 )
 
 // Refusal is the error for a request to which no backend server was assigned.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -27,8 +27,8 @@
 // Options are the settings and dependencies of a Dispatcher.
 type Options struct {
 	Zone string
-	// Drain is how long a draining backend server still receives requests for keys that it owns.
-	Drain time.Duration
+	// Periods are how long draining backend servers still receive requests for keys that they own.
+	Periods serverstate.Periods
 	// Clock returns the time since the start of the process.
 	Clock func() time.Duration
 	// NewPool creates the connection pool of a backend server.
@@ -40,18 +40,20 @@
 // Dispatcher places the requests of one gateway on backend servers. It is safe for concurrent use.
 type Dispatcher struct {
 	zone    string
-	drain   time.Duration
 	clock   func() time.Duration
 	newPool func(addr string) *serverconn.Pool
 	log     *logrus.Entry
 	metrics *observe.Metrics
 
 	// mu protects the fields below.
-	mu sync.Mutex
+	mu      sync.Mutex
+	periods serverstate.Periods
 	// gateways is the number of gateways that share the limits of backend servers.
 	gateways int
-	services map[string]*service
-	servers  map[directory.Incarnation]*server
+	// zonesVersion is the version of the zone states that the servers have.
+	zonesVersion int
+	services     map[string]*service
+	servers      map[directory.Incarnation]*server
 	// notices are those of servers that are not listed.
 	notices             map[directory.Incarnation]keptNotice
 	queueCheckScheduled bool
@@ -64,7 +66,7 @@
 func New(options Options) *Dispatcher {
 	return &Dispatcher{
 		zone:     options.Zone,
-		drain:    options.Drain,
+		periods:  options.Periods,
 		clock:    options.Clock,
 		newPool:  options.NewPool,
 		log:      options.Log,
@@ -75,13 +77,13 @@
 	}
 }
 
-// SetDrain changes how long a draining backend server still receives requests for keys that it owns.
-func (d *Dispatcher) SetDrain(drain time.Duration) {
+// SetPeriods changes how long draining backend servers still receive requests for keys that they own.
+func (d *Dispatcher) SetPeriods(periods serverstate.Periods) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.drain = drain
+	d.periods = periods
 	for _, s := range d.services {
-		s.drain = drain
+		s.periods = periods
 	}
 }
 
@@ -112,7 +114,7 @@
 	for name, current := range view.Services {
 		s := d.services[name]
 		if s == nil {
-			s = newService(d.drain)
+			s = newService(d.periods)
 			d.services[name] = s
 		}
 		s.sharded = current.Sharded
@@ -134,6 +136,9 @@
 	if changed {
 		d.removeUnlistedServers()
 	}
+	if changed || d.zonesVersion != view.ZonesVersion {
+		d.setZones(view)
+	}
 	d.placeQueued()
 	for name, s := range d.services {
 		if view.Services[name] == nil && len(s.queue) == 0 {
@@ -142,6 +147,14 @@
 	}
 }
 
+// setZones sets the states of the availability zones at the servers.
+func (d *Dispatcher) setZones(view *snapshot.Snapshot) {
+	d.zonesVersion = view.ZonesVersion
+	for _, server := range d.servers {
+		server.known.SetZone(view.Zones[server.registered.Zone])
+	}
+}
+
 // sameSlice reports whether two lists are the same slice; it does not compare elements.
 func sameSlice(a, b []directory.RegisteredServer) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -24,13 +24,15 @@
 const (
 	testKeys  = 100
 	testDrain = 2 * time.Second
+	// testZoneDrain is longer than testDrain, as the two are independent.
+	testZoneDrain = 5 * time.Second
 )
 
 func newDispatcher() *Dispatcher {
 	started := time.Now()
 	clock := func() time.Duration { return time.Since(started) }
 	return New(Options{
-		Zone: "z", Drain: testDrain, Clock: clock, Log: logging.Discard().Component("dispatch"), Metrics: observe.New(),
+		Zone: "z", Periods: serverstate.Periods{Drain: testDrain, ZoneDrain: testZoneDrain}, Clock: clock, Log: logging.Discard().Component("dispatch"), Metrics: observe.New(),
 		NewPool: func(addr string) *serverconn.Pool {
 			return serverconn.NewPool(addr, &net.Dialer{}, nil, serverconn.Settings{})
 		},
--- a/internal/dispatch/notices.go
+++ b/internal/dispatch/notices.go
@@ -27,7 +27,7 @@
 		"server": r.Server.ID, "started_ms": r.Server.StartedAtMs, "service": r.Server.Service, "sent": r.sentAt,
 	})
 	if learned.Leaving {
-		log.WithField("until", now+d.drain).Info("backend server says that it leaves")
+		log.WithField("until", now+d.periods.Drain).Info("backend server says that it leaves")
 		d.metrics.CountNotice(noticeLeaving)
 	}
 	if learned.HoldOff {
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -25,8 +25,8 @@
 // service holds the servers, ownership and queued requests of one service.
 type service struct {
 	sharded bool
-	// drain is how long a draining backend server still receives requests for keys that it owns.
-	drain time.Duration
+	// periods are how long draining backend servers still receive requests for keys that they own.
+	periods serverstate.Periods
 	// serverList is the list from which servers was built.
 	serverList []directory.RegisteredServer
 	servers    []*server
@@ -46,9 +46,9 @@
 	eligible, sameZoneIndices, otherZoneIndices []int
 }
 
-func newService(drain time.Duration) *service {
+func newService(periods serverstate.Periods) *service {
 	return &service{
-		drain:         drain,
+		periods:       periods,
 		byIncarnation: make(map[directory.Incarnation]*server),
 		movingSince:   make(map[ownership.Token]time.Duration),
 		random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -126,14 +126,16 @@
 // withoutCandidates returns the choice for a request that any server can run, if none is eligible. What the servers
 // themselves have said is final: the request is refused at once.
 func (s *service) withoutCandidates(now, runTime time.Duration) choice {
-	leaves, admitsMore, earliest := false, false, time.Duration(0)
+	leaves, zoneDrained, admitsMore, earliest := false, false, false, time.Duration(0)
 	for _, server := range s.servers {
 		left := server.known.HeldOffFor(now)
 		switch {
 		case server.known.Leaves():
 			leaves = true
+		case server.known.ZoneDrained():
+			zoneDrained = true
 		case left == 0:
-			admitsMore = admitsMore || server.known.Availability(now, s.drain) > serverstate.HeldOff
+			admitsMore = admitsMore || server.known.Availability(now, s.periods) > serverstate.HeldOff
 		case earliest == 0 || left < earliest:
 			earliest = left
 		}
@@ -143,6 +145,8 @@
 		return choice{reason: ReasonFull, wait: runTime, runTime: runTime}
 	case earliest > 0:
 		return choice{reason: ReasonHeldOff, final: true, wait: earliest, runTime: runTime}
+	case zoneDrained:
+		return choice{reason: ReasonZoneDrained, final: true, wait: slowMoveWait, runTime: runTime}
 	case leaves:
 		return choice{reason: ReasonLeaving, final: true, wait: slowMoveWait, runTime: runTime}
 	}
@@ -156,7 +160,7 @@
 	eligible, tried, suspended := s.eligible[:0], []int(nil), 0
 	s.limited = s.limited[:0]
 	for i, server := range s.servers {
-		availability := server.known.Availability(now, s.drain)
+		availability := server.known.Availability(now, s.periods)
 		if availability <= serverstate.Draining {
 			continue
 		}
@@ -208,7 +212,10 @@
 	if row.Token == request.StaleToken && now < request.RetryAt {
 		return choice{reason: ReasonMoving, wait: request.RetryAt - now, runTime: meanRunTime}
 	}
-	if owner.known.Availability(now, s.drain) == serverstate.Gone {
+	if owner.known.Availability(now, s.periods) == serverstate.Gone {
+		if owner.known.ZoneDrained() && s.allZonesDrained() {
+			return choice{reason: ReasonZoneDrained, final: true, wait: slowMoveWait, runTime: meanRunTime}
+		}
 		return choice{reason: ReasonMoving, wait: s.moveWait(row.Token, now), runTime: meanRunTime}
 	}
 	state := owner.state(now, meanRunTime, s.meanPeerRequests())
@@ -232,6 +239,13 @@
 	return choice{reason: ReasonFull, wait: waitForRoom(state, ahead), runTime: state.RunTime}
 }
 
+// allZonesDrained reports whether no server remains to which keys could move, because the zones of all are drained.
+func (s *service) allZonesDrained() bool {
+	return !slices.ContainsFunc(s.servers, func(server *server) bool {
+		return !server.known.ZoneDrained() && !server.known.Leaves()
+	})
+}
+
 // waitForRoom returns the expected wait for room at a server. It assumes that the server's slots are divided among
 // the gateways in proportion to their outstanding requests there.
 func waitForRoom(state placing.Server, ahead int) time.Duration {
--- a/internal/entry/attempttimer_test.go
+++ b/internal/entry/attempttimer_test.go
@@ -14,13 +14,14 @@
 	"github.com/sapphireplank/sapphireplank/internal/observe"
 	"github.com/sapphireplank/sapphireplank/internal/routing"
 	"github.com/sapphireplank/sapphireplank/internal/serverconn"
+	"github.com/sapphireplank/sapphireplank/internal/serverstate"
 	"github.com/sapphireplank/sapphireplank/internal/snapshot"
 )
 
 // idleDispatcher returns a dispatcher whose clock stands still, with a service "s" that has an idle server.
 func idleDispatcher() *dispatch.Dispatcher {
 	dispatcher := dispatch.New(dispatch.Options{
-		Zone: "z", Drain: time.Second, Clock: func() time.Duration { return 0 }, Log: logging.Discard().Component("dispatch"), Metrics: observe.New(),
+		Zone: "z", Periods: serverstate.Periods{Drain: time.Second}, Clock: func() time.Duration { return 0 }, Log: logging.Discard().Component("dispatch"), Metrics: observe.New(),
 		NewPool: func(addr string) *serverconn.Pool {
 			return serverconn.NewPool(addr, &net.Dialer{}, testHeaders{}, serverconn.Settings{})
 		},
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -20,6 +20,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/retry"
 	"github.com/sapphireplank/sapphireplank/internal/routing"
 	"github.com/sapphireplank/sapphireplank/internal/serverconn"
+	"github.com/sapphireplank/sapphireplank/internal/serverstate"
 	"github.com/sapphireplank/sapphireplank/internal/snapshot"
 )
 
@@ -127,7 +128,7 @@
 	clock := func() time.Duration { return budgetWindow + time.Since(started) }
 	timeouts := netdial.Settings{ConnectTimeout: time.Second, UserTimeout: 5 * time.Second, KeepAliveInterval: 5 * time.Second}
 	dispatcher := dispatch.New(dispatch.Options{
-		Zone: "z", Drain: time.Second, Clock: clock, Log: logging.Discard().Component("dispatch"), Metrics: observe.New(),
+		Zone: "z", Periods: serverstate.Periods{Drain: time.Second}, Clock: clock, Log: logging.Discard().Component("dispatch"), Metrics: observe.New(),
 		NewPool: func(addr string) *serverconn.Pool {
 			return serverconn.NewPool(addr, timeouts.Dialer(), testHeaders{}, serverconn.Settings{
 				MaxIdle: time.Minute, MaxIdleAtMostOnce: time.Minute, MaxResponseBodyBytes: 1 << 20,
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -73,9 +73,9 @@
 	n.budgets = entry.NewRetryBudgets(retryLimits(settings), n.clock)
 	dialer := ServerTimeouts.Dialer()
 	n.dispatcher = dispatch.New(dispatch.Options{
-		Zone:  settings.Zone,
-		Drain: settings.ServerDrain,
-		Clock: n.clock,
+		Zone:    settings.Zone,
+		Periods: drainPeriods(settings),
+		Clock:   n.clock,
 		NewPool: func(addr string) *serverconn.Pool {
 			return serverconn.NewPool(addr, dialer, adapter.Headers, poolSettings)
 		},
--- a/internal/entrynode/reload.go
+++ b/internal/entrynode/reload.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sapphireplank/sapphireplank/internal/retry"
+	"github.com/sapphireplank/sapphireplank/internal/serverstate"
 )
 
 // settingsPollInterval is how often the settings file is re-read, so that edits take effect even without SIGHUP.
@@ -46,8 +47,12 @@
 	}
 	n.settings.Store(settings)
 	n.budgets.SetLimits(retryLimits(settings))
-	n.dispatcher.SetDrain(settings.ServerDrain)
-	n.log.Info("settings changed; [retries], [servers] drain_ms and [stop] grace_s are in force, all others at the next start")
+	n.dispatcher.SetPeriods(drainPeriods(settings))
+	n.log.Info("settings changed; [retries], [servers] drain_ms, [zones] drain_ms and [stop] grace_s are in force, all others at the next start")
+}
+
+func drainPeriods(s *Settings) serverstate.Periods {
+	return serverstate.Periods{Drain: s.ServerDrain, ZoneDrain: s.ZoneDrain}
 }
 
 func retryLimits(s *Settings) retry.WindowLimits {
--- a/internal/entrynode/settings.go
+++ b/internal/entrynode/settings.go
@@ -35,6 +35,8 @@
 	ShortestLease time.Duration
 	// ServerDrain is how long a draining backend server may still get requests.
 	ServerDrain time.Duration
+	// ZoneDrain is how long after the request to drain an availability zone its backend servers may still get requests.
+	ZoneDrain time.Duration
 	// RetryRatio, RetryWindow and RetrySlack define the retry budget that all gateways share.
 	RetryRatio  float64
 	RetryWindow time.Duration
@@ -89,6 +91,7 @@
 	{"store", "address", "", hintAddressPort, addressPortSetter(func(s *Settings) *string { return &s.StoreAddress })},
 	{"store", "shortest_lease_ms", "1000", hintPositive, positiveDurationSetter(time.Millisecond, func(s *Settings) *time.Duration { return &s.ShortestLease })},
 	{"servers", "drain_ms", "2000", hintNonNegative, durationSetter(time.Millisecond, func(s *Settings) *time.Duration { return &s.ServerDrain })},
+	{"zones", "drain_ms", "5000", hintNonNegative, durationSetter(time.Millisecond, func(s *Settings) *time.Duration { return &s.ZoneDrain })},
 	{"retries", "ratio", "0.1", hintNonNegative, floatSetter(func(s *Settings) *float64 { return &s.RetryRatio })},
 	{"retries", "window_s", "10", hintPositive, positiveDurationSetter(time.Second, func(s *Settings) *time.Duration { return &s.RetryWindow })},
 	{"retries", "slack", "20", hintNonNegative, floatSetter(func(s *Settings) *float64 { return &s.RetrySlack })},
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -43,6 +43,7 @@
 	notices         *prometheus.CounterVec
 	gateways        prometheus.Gauge
 	ownershipRows   prometheus.Gauge
+	drainedZones    prometheus.Gauge
 	storeContactAge prometheus.Gauge
 	dropped         prometheus.Counter
 }
@@ -71,11 +72,12 @@
 		limitedSends:    newCounter("plank_entry_limited_sends_total", "Requests placed on backend servers that limit their request rate."),
 		gateways:        newGauge("plank_gateways", "Gateways with which this one shares limits."),
 		ownershipRows:   newGauge("plank_ownership_rows", "Ranges of keys in the ownership tables."),
+		drainedZones:    newGauge("plank_drained_zones", "Availability zones that the operator drains."),
 		storeContactAge: newGauge("plank_store_contact_age_seconds", "Time since what the store holds was last confirmed, by the store or the elected gateway."),
 		dropped:         newCounter("plank_log_lines_dropped_total", "Log lines that were dropped because the output was slow or the rate was exceeded."),
 	}
 	m.registry.MustRegister(m.requests, m.durations, m.queueWaits, m.refusals, m.sends, m.retries, m.storeCalls, m.orders,
-		m.movedKeys, m.elected, m.storeEra, m.version, m.servers, m.suspended, m.limited, m.heldOff, m.limitedSends, m.notices, m.gateways, m.ownershipRows, m.storeContactAge, m.dropped)
+		m.movedKeys, m.elected, m.storeEra, m.version, m.servers, m.suspended, m.limited, m.heldOff, m.limitedSends, m.notices, m.gateways, m.ownershipRows, m.drainedZones, m.storeContactAge, m.dropped)
 	return m
 }
 
@@ -152,6 +154,7 @@
 	Servers         int
 	Gateways        int
 	OwnershipRows   int
+	DrainedZones    int
 	StoreContactAge time.Duration
 }
 
@@ -166,6 +169,7 @@
 	m.servers.Set(float64(s.Servers))
 	m.gateways.Set(float64(s.Gateways))
 	m.ownershipRows.Set(float64(s.OwnershipRows))
+	m.drainedZones.Set(float64(s.DrainedZones))
 	m.storeContactAge.Set(s.StoreContactAge.Seconds())
 }
 
--- a/internal/serverstate/state.go
+++ b/internal/serverstate/state.go
@@ -7,11 +7,18 @@
 
 	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/suspicion"
+	"github.com/sapphireplank/sapphireplank/internal/zones"
 )
 
-// DrainMargin is how long before the end of the drain period a draining server receives its last request.
+// DrainMargin is how long before the end of a drain period a draining server receives its last request.
 const DrainMargin = 400 * time.Millisecond
 
+// Periods are how long servers that are to receive no new requests still receive those for keys that they own.
+type Periods struct {
+	// Drain applies to a server that leaves, ZoneDrain to one whose availability zone the operator drains.
+	Drain, ZoneDrain time.Duration
+}
+
 // State is what a gateway knows of one incarnation of a backend server.
 type State struct {
 	// Failures are the statistics of the requests that the server failed or did not answer.
@@ -20,7 +27,9 @@
 	replaced bool
 	// registered is the entry in the store.
 	registered directory.RegisteredServer
-	notice     Notice
+	// zone is the state of the availability zone of the server.
+	zone   zones.State
+	notice Notice
 	// position is the place of this gateway among those that come back to the server after a hold-off, from 0 to 1.
 	position float64
 }
@@ -32,6 +41,12 @@
 // Register sets the entry of the server.
 func (s *State) Register(registered directory.RegisteredServer) { s.registered = registered }
 
+// SetZone sets the state of the server's availability zone.
+func (s *State) SetZone(zone zones.State) { s.zone = zone }
+
+// ZoneDrained reports whether the operator drains the server's availability zone.
+func (s *State) ZoneDrained() bool { return s.zone.Drained }
+
 // MarkReplaced records that a different server answered at the address, which means that this one has ended.
 func (s *State) MarkReplaced() { s.replaced = true }
 
@@ -62,9 +77,9 @@
 
 // In order of precedence: a server that is in several of these states is in the first one that applies.
 const (
-	// Gone: it has ended, or has left. It receives no requests.
+	// Gone: it has ended, has left, or its zone is drained. It receives no requests.
 	Gone Availability = iota
-	// Draining: it receives requests for keys that it owns, and no others.
+	// Draining: it leaves, or its zone is being drained. It receives requests for keys that it owns, and no others.
 	Draining
 	// HeldOff: it wants no requests for some time.
 	HeldOff
@@ -74,17 +89,18 @@
 	Available
 )
 
-// Availability returns which requests the server may receive. drain is how long a server that leaves takes requests for
-// keys that it owns.
+// Availability returns which requests the server may receive.
 //
 // What the server says of itself counts as much as its entry: the earlier of the two starts the drain, and neither ends what
-// the other has started.
-func (s *State) Availability(now, drain time.Duration) Availability {
+// the other has started. A drain of its zone is independent of both, and can be taken back.
+func (s *State) Availability(now time.Duration, periods Periods) Availability {
 	since, draining := s.drainingSince()
 	switch {
-	case s.replaced, draining && now-since > drain-DrainMargin:
+	case s.replaced, draining && now-since > periods.Drain-DrainMargin:
+		return Gone
+	case s.zone.Drained && now-s.zone.Since > periods.ZoneDrain-DrainMargin:
 		return Gone
-	case draining:
+	case draining, s.zone.Drained:
 		return Draining
 	case s.notice.HoldOff.Active(now):
 		return HeldOff
--- a/internal/serverstate/state_test.go
+++ b/internal/serverstate/state_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/suspicion"
+	"github.com/sapphireplank/sapphireplank/internal/zones"
 )
 
 // Guards against a rule of precedence under which one source of what is known of a server takes back what another has
@@ -28,6 +29,8 @@
 	}
 	replaced := func(s *State) { s.MarkReplaced() }
 	busy := func(s *State) { s.Observe(Statement{HoldOff: time.Second}, 0, 0, 0) }
+	const zoneDrain = 5 * time.Second
+	zoneDrained := func(s *State) { s.SetZone(zones.State{Drained: true}) }
 	cases := []struct {
 		name  string
 		facts []func(*State)
@@ -50,6 +53,13 @@
 		{"holds off and leaves", []func(*State){busy, says(0)}, 0, Draining},
 		{"replaced", []func(*State){replaced, entry(false, 0)}, 0, Gone},
 		{"replaced and leaves", []func(*State){says(0), replaced}, 0, Gone},
+		{"zone drains", []func(*State){zoneDrained}, 0, Draining},
+		{"zone drains, entry comes again", []func(*State){zoneDrained, entry(false, 0)}, expired, Draining},
+		{"zone has drained", []func(*State){zoneDrained, entry(false, 0)}, zoneDrain - DrainMargin + 1, Gone},
+		{"zone drains, server has drained", []func(*State){zoneDrained, entry(true, 0)}, expired, Gone},
+		{"zone drains and server holds off", []func(*State){zoneDrained, busy}, 0, Draining},
+		{"zone taken back", []func(*State){zoneDrained, func(s *State) { s.SetZone(zones.State{ReturnedAt: 1}) }}, 1, Available},
+		{"zone taken back, server drains", []func(*State){says(0), func(s *State) { s.SetZone(zones.State{ReturnedAt: 1}) }}, 1, Draining},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -57,7 +67,7 @@
 			for _, fact := range c.facts {
 				fact(&s)
 			}
-			if got := s.Availability(c.now, drain); got != c.want {
+			if got := s.Availability(c.now, Periods{Drain: drain, ZoneDrain: zoneDrain}); got != c.want {
 				t.Errorf("availability %d, want %d", got, c.want)
 			}
 		})
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -6,6 +6,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
 	"github.com/sapphireplank/sapphireplank/internal/routing"
+	"github.com/sapphireplank/sapphireplank/internal/zones"
 )
 
 // Snapshot is one immutable view of routes, services and backend servers.
@@ -16,6 +17,9 @@
 	Services map[string]*Service
 	// Gateways is the number of gateways among which the limits of the services are divided.
 	Gateways int
+	// Zones are the states of the availability zones that are or were drained. ZonesVersion rises with each change.
+	Zones        zones.States
+	ZonesVersion int
 }
 
 // Service is a service with its backend servers.
