quota: bound the requests of the fleet to servers that start slowly

Cause: the entry of a server that has just started only halved its capacity; nothing bounded the rate of all gateways together. A listing also did not tell of a server that starts anew under a known incarnation.

Change: one mechanism for limits that servers name and for slow starts: permits of the elected gateway, own shares without it. Terms hold where they differ. The rate comes from the configuration, the bound from [slow_start]. Servers of a zone that was taken back count as just started.

--- a/internal/controller/assign.go
+++ b/internal/controller/assign.go
@@ -15,6 +15,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/kv"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
 	"github.com/sapphireplank/sapphireplank/internal/relay"
+	"github.com/sapphireplank/sapphireplank/internal/routing"
 )
 
 const (
@@ -210,14 +211,30 @@
 		if limit, limited := c.allocator.Limit(relay.ServerHash(server.Incarnation())); limited {
 			capacity = min(capacity, limit)
 		}
-		if c.Clock() < server.WarmupUntil {
-			capacity *= warmupCapacityShare
+		if c.warmsUp(server, c.config.Services[service].SlowStart.Period) {
+			capacity = warmupCapacity(capacity, c.config.Services[service].SlowStart)
 		}
 		candidates[i] = ownership.Candidate{Holder: holderOf(server.Server), Capacity: capacity}
 	}
 	return candidates
 }
 
+// warmsUp reports whether a server has less capacity than later: it has just started, or its zone was taken back within the
+// period in which its servers start slowly.
+func (c *Controller) warmsUp(server directory.RegisteredServer, slowStart time.Duration) bool {
+	now, returnedAt := c.Clock(), c.zones.Get(server.Zone).ReturnedAt
+	return now < server.WarmupUntil || returnedAt > 0 && now < returnedAt+slowStart
+}
+
+// warmupCapacity returns what remains of a server's capacity, in requests a second, during its warm-up.
+func warmupCapacity(capacity float64, slowStart routing.SlowStart) float64 {
+	capacity *= warmupCapacityShare
+	if slowStart.Rate > 0 {
+		capacity = min(capacity, slowStart.Rate)
+	}
+	return capacity
+}
+
 // runTimes returns the mean run time of requests at each backend server. A server with too few measurements is assumed
 // to have the average run time of the others.
 func (c *Controller) runTimes(servers []directory.RegisteredServer) []time.Duration {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -41,6 +41,8 @@
 	Election  election.Settings
 	Ownership ownership.Settings
 	Planner   ownership.PlannerSettings
+	// SlowStart bounds the requests of all gateways to a backend server that has just started.
+	SlowStart quota.SlowStart
 	Log       *logrus.Entry
 	Metrics   *observe.Metrics
 }
@@ -147,7 +149,7 @@
 		remembered: make(map[string]bool),
 		witnesses:  make(map[string]map[string]ownership.Token),
 		meters:     make(map[string]*ownership.RateMeter),
-		allocator:  quota.NewAllocator(),
+		allocator:  quota.NewAllocator(options.SlowStart),
 		items:      make(map[string]kv.Item),
 
 		serversVersion: 1,
@@ -266,6 +268,6 @@
 	}
 	c.Log.WithField("term", c.election.Term()).Info("no longer the elected gateway")
 	c.dropAssigners()
-	c.allocator = quota.NewAllocator()
+	c.allocator = quota.NewAllocator(c.SlowStart)
 	c.server.CloseAll()
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -129,8 +129,11 @@
 		}
 		delete(d.outdated, server.ID)
 		if e, ok := d.entries[server.ID]; ok && e.server.Incarnation() == server.Incarnation() {
-			wasDraining := e.server.Draining
+			wasDraining, repeated := e.server.Draining, e.server.Sequence == server.Sequence
 			e.server, e.removalPending = server, false
+			if !repeated {
+				e.warmupUntil = now + server.WarmupLeft
+			}
 			if !wasDraining {
 				e.drainingSince = since
 			}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -93,3 +93,18 @@
 		t.Fatal("another incarnation of a server that left is ignored")
 	}
 }
+
+// Guards against a listing that does not tell of the warm-up of a server whose entry has changed, and against one that starts
+// the warm-up anew with each repeated entry.
+func TestWarmupInListing(t *testing.T) {
+	d := New()
+	server := Server{ID: "a", StartedAtMs: 1, Sequence: 1}
+	d.Put(0, 0, server)
+	server.Sequence, server.WarmupLeft = 2, 3*time.Second
+	for _, now := range []time.Duration{time.Second, 2 * time.Second} {
+		d.Replace(now, now, []Server{server})
+	}
+	if got, _ := d.Lookup("a"); got.WarmupUntil != 4*time.Second {
+		t.Errorf("warm-up until %v, want 4s", got.WarmupUntil)
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -29,6 +29,8 @@
 	Zone string
 	// Periods are how long draining backend servers still receive requests for keys that they own.
 	Periods serverstate.Periods
+	// SlowStart bounds the requests of all gateways to a backend server that has just started.
+	SlowStart quota.SlowStart
 	// Clock returns the time since the start of the process.
 	Clock func() time.Duration
 	// NewPool creates the connection pool of a backend server.
@@ -44,6 +46,8 @@
 	newPool func(addr string) *serverconn.Pool
 	log     *logrus.Entry
 	metrics *observe.Metrics
+	// slowStart is that of Options.
+	slowStart quota.SlowStart
 
 	// mu protects the fields below.
 	mu      sync.Mutex
@@ -65,15 +69,17 @@
 // New returns a dispatcher without backend servers.
 func New(options Options) *Dispatcher {
 	return &Dispatcher{
-		zone:     options.Zone,
-		periods:  options.Periods,
-		clock:    options.Clock,
-		newPool:  options.NewPool,
-		log:      options.Log,
-		metrics:  options.Metrics,
-		services: make(map[string]*service),
-		servers:  make(map[directory.Incarnation]*server),
-		notices:  make(map[directory.Incarnation]keptNotice),
+		zone:    options.Zone,
+		periods: options.Periods,
+
+		slowStart: options.SlowStart,
+		clock:     options.Clock,
+		newPool:   options.NewPool,
+		log:       options.Log,
+		metrics:   options.Metrics,
+		services:  make(map[string]*service),
+		servers:   make(map[directory.Incarnation]*server),
+		notices:   make(map[directory.Incarnation]keptNotice),
 	}
 }
 
@@ -120,6 +126,7 @@
 		s.sharded = current.Sharded
 		s.owners = current.Owners
 		s.gateways = view.Gateways
+		s.slowStart = current.SlowStart
 		if !sameSlice(s.serverList, current.Servers) {
 			d.setServers(s, current.Servers)
 			changed = true
@@ -139,6 +146,7 @@
 	if changed || d.zonesVersion != view.ZonesVersion {
 		d.setZones(view)
 	}
+	d.logSlowStarts()
 	d.placeQueued()
 	for name, s := range d.services {
 		if view.Services[name] == nil && len(s.queue) == 0 {
@@ -150,8 +158,11 @@
 // setZones sets the states of the availability zones at the servers.
 func (d *Dispatcher) setZones(view *snapshot.Snapshot) {
 	d.zonesVersion = view.ZonesVersion
-	for _, server := range d.servers {
-		server.known.SetZone(view.Zones[server.registered.Zone])
+	for _, s := range d.services {
+		for _, server := range s.servers {
+			server.known.SetZone(view.Zones[server.registered.Zone])
+			server.known.SetSlowStart(s.slowStart.Period)
+		}
 	}
 }
 
@@ -190,7 +201,7 @@
 	if s == nil {
 		s = &server{
 			pool: d.newPool(registered.Addr), sameZone: registered.Zone == d.zone,
-			hash: relay.ServerHash(registered.Incarnation()), known: serverstate.New(rand.Float64()), limiter: quota.NewLimiter(rand.Float64()),
+			hash: relay.ServerHash(registered.Incarnation()), known: serverstate.New(rand.Float64()), limits: newServerLimits(rand.Float64(), d.slowStart),
 		}
 		s.known.Restore(d.notices[registered.Incarnation()].notice)
 		d.servers[registered.Incarnation()] = s
@@ -292,7 +303,7 @@
 	select {
 	case result := <-w.result:
 		if result.reservation != nil {
-			result.reservation.server.limiter.Return()
+			result.reservation.server.limits.giveBack()
 			d.releaseSlot(result.reservation)
 		}
 	default:
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -9,14 +9,14 @@
 
 // observeLimit applies what a backend server stated about its request rate.
 func (d *Dispatcher) observeLimit(s *server, statement quota.Statement) {
-	if s.limiter.Observe(statement, d.clock()) {
+	if s.limits.named.Observe(statement, d.clock()) {
 		d.logLimit(s)
 	}
 }
 
 func (d *Dispatcher) logLimit(s *server) {
 	log := d.log.WithField("server", s.registered.ID).WithField("service", s.registered.Service)
-	statement := s.limiter.Statement()
+	statement := s.limits.named.Statement()
 	if !statement.Limited {
 		log.Info("backend server no longer limits its requests")
 		return
@@ -27,11 +27,11 @@
 // countDemand counts a request at the servers that limit their requests and for which it was chosen or waits.
 func (c choice) countDemand() {
 	if c.server != nil {
-		c.server.limiter.Want()
+		c.server.limits.want()
 		return
 	}
 	for _, s := range c.limited {
-		s.limiter.Want()
+		s.limits.want()
 	}
 }
 
@@ -39,7 +39,7 @@
 func (s *service) limitedWait(request *AcquireRequest, limited []*server, ahead int, now time.Duration) time.Duration {
 	shortest := slowMoveWait
 	for _, server := range limited {
-		wait := server.limiter.Wait(quota.Level(request.Priority), ahead/len(limited), now, s.gateways)
+		wait := server.limits.wait(quota.Level(request.Priority), ahead/len(limited), now, s.gateways)
 		shortest = min(shortest, wait)
 	}
 	return shortest
@@ -52,9 +52,10 @@
 	now := d.clock()
 	var reports []quota.Report
 	waiting := d.waitingByServer(now)
-	for _, s := range d.servers {
-		if usage, due := s.limiter.Report(now, d.gateways, waiting[s]); due {
-			reports = append(reports, quota.Report{Server: s.hash, Statement: s.limiter.Statement(), Usage: usage})
+	for _, service := range d.services {
+		for _, s := range service.servers {
+			service.updateSlowStart(s, now)
+			reports = append(reports, s.limits.reports(s.hash, waiting[s], now, d.gateways)...)
 		}
 	}
 	return reports
@@ -65,7 +66,7 @@
 func (d *Dispatcher) waitingByServer(now time.Duration) map[*server]quota.Waiting {
 	waiting := make(map[*server]quota.Waiting)
 	for _, s := range d.services {
-		if !slices.ContainsFunc(s.servers, func(server *server) bool { return server.limiter.Limited() }) {
+		if !slices.ContainsFunc(s.servers, func(server *server) bool { return server.limits.limited() }) {
 			continue
 		}
 		for i, w := range s.queue {
@@ -88,12 +89,17 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock()
-	byServer := make(map[uint32]quota.Grant, len(grants))
-	for _, grant := range grants {
-		byServer[grant.Server] = grant
-	}
+	byServer := make(map[uint32]*server, len(d.servers))
 	for _, s := range d.servers {
-		if grant, ok := byServer[s.hash]; ok && s.limiter.Allocate(grant, now) {
+		byServer[s.hash] = s
+	}
+	for _, grant := range grants {
+		s := byServer[grant.Server]
+		switch {
+		case s == nil:
+		case grant.Kind == quota.KindSlowStart:
+			s.limits.slowStart.Allocate(grant, now)
+		case s.limits.named.Allocate(grant, now):
 			d.logLimit(s)
 		}
 	}
@@ -106,7 +112,7 @@
 	defer d.mu.Unlock()
 	count := 0
 	for _, s := range d.servers {
-		if s.limiter.Limited() {
+		if s.limits.named.Limited() {
 			count++
 		}
 	}
--- a/internal/dispatch/reservation.go
+++ b/internal/dispatch/reservation.go
@@ -62,8 +62,8 @@
 func (d *Dispatcher) reserve(s *service, c choice, now time.Duration) *Reservation {
 	wait := c.state.Wait()
 	c.server.ownRequests++
-	if c.server.limiter.Limited() {
-		c.server.limiter.Take(now, d.gateways)
+	if c.server.limits.limited() {
+		c.server.limits.take(now, d.gateways)
 		d.metrics.CountLimitedSend()
 	}
 	peerRequestsAt := max(c.server.peerRequestsAt, c.server.peerLoad.ReportedAt())
@@ -97,7 +97,7 @@
 		r.server.peerLoad.Report(result.Load.Running+result.Load.Queued, r.server.ownRequests, now)
 	}
 	if result.NotSent {
-		r.server.limiter.Return()
+		r.server.limits.giveBack()
 	}
 	if result.Responded {
 		d.observeLimit(r.server, quota.FromResponse(result.RateLimit, result.HasRateLimit, r.sentAt, now))
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -5,7 +5,6 @@
 
 	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/placing"
-	"github.com/sapphireplank/sapphireplank/internal/quota"
 	"github.com/sapphireplank/sapphireplank/internal/serverconn"
 	"github.com/sapphireplank/sapphireplank/internal/serverstate"
 )
@@ -33,10 +32,9 @@
 	peerRequestsAt    time.Duration
 	peerRequestsKnown bool
 	// hash identifies the server in messages between gateways.
-	hash  uint32
-	known serverstate.State
-	// limiter admits requests while the server limits them.
-	limiter *quota.Limiter
+	hash   uint32
+	known  serverstate.State
+	limits serverLimits
 }
 
 // peerRequestsMaxAge is how long the numbers exchanged between gateways take precedence over the load reported by
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -8,6 +8,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
 	"github.com/sapphireplank/sapphireplank/internal/placing"
+	"github.com/sapphireplank/sapphireplank/internal/routing"
 	"github.com/sapphireplank/sapphireplank/internal/serverstate"
 )
 
@@ -40,6 +41,8 @@
 	random      *rand.Rand
 	// gateways is the number of gateways that share the limits of the servers.
 	gateways int
+	// slowStart limits the requests to servers that have just started.
+	slowStart routing.SlowStart
 	// limited is a buffer for the servers that admit no request now.
 	limited []*server
 	// These are buffers for indices of servers that are reused between placements.
@@ -167,7 +170,7 @@
 		if availability == serverstate.HeldOff || !server.known.Admits(server.ownRequests, server.registered.Slots, now) {
 			continue
 		}
-		if !server.limiter.Admits(now, s.gateways) {
+		if !s.admitsRate(server, now) {
 			s.limited = append(s.limited, server)
 			continue
 		}
@@ -228,7 +231,7 @@
 	if owner.known.Failures.Suspended(now) {
 		return choice{reason: ReasonSuspended, wait: slowMoveWait, runTime: state.RunTime}
 	}
-	if !owner.limiter.Admits(now, s.gateways) {
+	if !s.admitsRate(owner, now) {
 		limited := append(s.limited[:0], owner)
 		wait := s.limitedWait(request, limited, ahead, now)
 		return choice{reason: ReasonLimited, limited: limited, wait: wait, runTime: state.RunTime}
--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -25,6 +25,7 @@
 	mux.HandleFunc(metricsPath, func(w http.ResponseWriter, r *http.Request) {
 		n.metrics.SetSuspendedServers(n.dispatcher.SuspendedServers())
 		n.metrics.SetLimitedServers(n.dispatcher.LimitedServers())
+		n.metrics.SetSlowStartServers(n.dispatcher.SlowStartServers())
 		n.metrics.SetHeldOffServers(n.dispatcher.HeldOffServers())
 		handler.ServeHTTP(w, r)
 	})
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -75,7 +75,9 @@
 	n.dispatcher = dispatch.New(dispatch.Options{
 		Zone:    settings.Zone,
 		Periods: drainPeriods(settings),
-		Clock:   n.clock,
+
+		SlowStart: slowStart(settings),
+		Clock:     n.clock,
 		NewPool: func(addr string) *serverconn.Pool {
 			return serverconn.NewPool(addr, dialer, adapter.Headers, poolSettings)
 		},
@@ -125,6 +127,7 @@
 		Election:  electionSettings(settings),
 		Ownership: ownershipSettings(settings, n.adapter.Keys),
 		Planner:   plannerSettings(n.adapter.Keys),
+		SlowStart: slowStart(settings),
 		Log:       n.logs.Component("control"),
 		Metrics:   n.metrics,
 	}
@@ -251,6 +254,11 @@
 	return int64(s.MemoryMB) * mebibyte / 100 * int64(s.BodyMemoryPercent)
 }
 
+// slowStart returns the bound on the requests to a backend server that has just started.
+func slowStart(s *Settings) quota.SlowStart {
+	return quota.SlowStart{Overshoot: s.SlowStartOvershoot, Slack: s.SlowStartSlack}
+}
+
 // electionSettings returns the timing of the election.
 func electionSettings(s *Settings) election.Settings {
 	const ttlFactor = 2
--- a/internal/entrynode/setters.go
+++ b/internal/entrynode/setters.go
@@ -71,6 +71,17 @@
 	}
 }
 
+// factorSetter parses a finite number of at least 1.
+func factorSetter(target func(*Settings) *float64) setter {
+	return func(s *Settings, value string) error {
+		err := floatSetter(target)(s, value)
+		if err == nil && *target(s) < 1 {
+			return ErrInvalidSetting
+		}
+		return err
+	}
+}
+
 // intSetter parses an integer within bounds.
 func intSetter(low, high int, target func(*Settings) *int) setter {
 	return func(s *Settings, value string) error {
--- a/internal/entrynode/settings.go
+++ b/internal/entrynode/settings.go
@@ -37,6 +37,10 @@
 	ServerDrain time.Duration
 	// ZoneDrain is how long after the request to drain an availability zone its backend servers may still get requests.
 	ZoneDrain time.Duration
+	// SlowStartOvershoot and SlowStartSlack bound the requests of all gateways to a backend server that has just started:
+	// in any one second, SlowStartOvershoot times the rate of its service and SlowStartSlack more.
+	SlowStartOvershoot float64
+	SlowStartSlack     float64
 	// RetryRatio, RetryWindow and RetrySlack define the retry budget that all gateways share.
 	RetryRatio  float64
 	RetryWindow time.Duration
@@ -72,6 +76,7 @@
 	hintName        = "use a name"
 	hintAddressPort = "use an IP address and port such as 10.0.0.1:8080"
 	hintNonNegative = "use a number of 0 or more"
+	hintFactor      = "use a number of 1 or more"
 	hintPositive    = "use a number above 0"
 	hintPort        = "use a port from 0 to 65535"
 )
@@ -92,6 +97,8 @@
 	{"store", "shortest_lease_ms", "1000", hintPositive, positiveDurationSetter(time.Millisecond, func(s *Settings) *time.Duration { return &s.ShortestLease })},
 	{"servers", "drain_ms", "2000", hintNonNegative, durationSetter(time.Millisecond, func(s *Settings) *time.Duration { return &s.ServerDrain })},
 	{"zones", "drain_ms", "5000", hintNonNegative, durationSetter(time.Millisecond, func(s *Settings) *time.Duration { return &s.ZoneDrain })},
+	{"slow_start", "overshoot", "1", hintFactor, factorSetter(func(s *Settings) *float64 { return &s.SlowStartOvershoot })},
+	{"slow_start", "slack", "0", hintNonNegative, floatSetter(func(s *Settings) *float64 { return &s.SlowStartSlack })},
 	{"retries", "ratio", "0.1", hintNonNegative, floatSetter(func(s *Settings) *float64 { return &s.RetryRatio })},
 	{"retries", "window_s", "10", hintPositive, positiveDurationSetter(time.Second, func(s *Settings) *time.Duration { return &s.RetryWindow })},
 	{"retries", "slack", "20", hintNonNegative, floatSetter(func(s *Settings) *float64 { return &s.RetrySlack })},
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -1,17 +1,13 @@
 package quota
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
 )
 
 const (
-	// burstShare and extraBurst bound the permits that are issued at once: burstShare seconds of the limit, and
-	// extraBurst more. With permits that were issued up to PermitLifetime earlier, the requests in 4 s stay below one and
-	// a half times what the limit allows and 5 more.
-	burstShare = 0.5
-	extraBurst = 2
 	// reservedShare is the share of the permits that is kept for gateways with recent demand. A gateway without any is
 	// issued a permit for its next request from the rest.
 	reservedShare = 0.5
@@ -28,6 +24,7 @@
 type Report struct {
 	// Server identifies the backend server.
 	Server    uint32
+	Kind      Kind
 	Statement Statement
 	Usage     Usage
 }
@@ -36,8 +33,9 @@
 type Grant struct {
 	// Server identifies the backend server.
 	Server    uint32
+	Kind      Kind
 	Statement Statement
-	// Permits is the number of additional requests that the gateway may send within PermitLifetime.
+	// Permits is the number of additional requests that the gateway may send while the permits last.
 	Permits int
 	// Waits are the expected times until the gateway is issued a permit for another request.
 	Waits Waits
@@ -45,11 +43,23 @@
 
 // Allocator divides the rates of backend servers among the gateways. The elected gateway has one.
 type Allocator struct {
-	servers map[uint32]*allocation
+	slowStart SlowStart
+	limits    map[limitID]*allocation
+}
+
+// limitID identifies a limit: a backend server may have one of each kind.
+type limitID struct {
+	server uint32
+	kind   Kind
+}
+
+func (i limitID) compare(other limitID) int {
+	return cmp.Or(cmp.Compare(i.server, other.server), cmp.Compare(i.kind, other.kind))
 }
 
 // allocation is the division of the rate of one backend server.
 type allocation struct {
+	termsOf   func(limit float64) Terms
 	statement Statement
 	tokens    float64
 	filledAt  time.Duration
@@ -59,29 +69,32 @@
 }
 
 // NewAllocator returns an allocator that knows no limits.
-func NewAllocator() *Allocator { return &Allocator{servers: make(map[uint32]*allocation)} }
+func NewAllocator(slowStart SlowStart) *Allocator {
+	return &Allocator{slowStart: slowStart, limits: make(map[limitID]*allocation)}
+}
 
 // Empty reports whether no limit is known or has recently ended.
-func (a *Allocator) Empty() bool { return len(a.servers) == 0 }
+func (a *Allocator) Empty() bool { return len(a.limits) == 0 }
 
 // Report applies the report of a gateway. The time of its statement is in terms of the caller's clock.
 func (a *Allocator) Report(host string, report Report, now time.Duration) {
-	s := a.servers[report.Server]
+	id := limitID{report.Server, report.Kind}
+	s := a.limits[id]
 	if s == nil {
-		s = &allocation{members: make(map[string]*member), filledAt: now}
-		a.servers[report.Server] = s
+		s = &allocation{termsOf: a.slowStart.termsOf(id.kind), members: make(map[string]*member), filledAt: now}
+		a.limits[id] = s
 	}
 	s.reportedAt = now
 	if report.Statement.NewerThan(s.statement) {
 		s.statement = report.Statement
 	}
 	returned := s.member(host).report(report.Usage, now)
-	s.tokens = min(s.tokens+float64(returned), s.maxTokens())
+	s.tokens = min(s.tokens+float64(returned), s.terms().MaxPermits)
 }
 
-// Limit returns the number of requests a second that a backend server takes, and whether it limits them.
+// Limit returns the number of requests a second that a backend server named, and whether it limits them.
 func (a *Allocator) Limit(server uint32) (float64, bool) {
-	s := a.servers[server]
+	s := a.limits[limitID{server, KindNamed}]
 	if s == nil || !s.statement.Limited {
 		return 0, false
 	}
@@ -92,10 +105,10 @@
 // The others use their own shares. Each host is listed once. The result has one grant a server for each host.
 func (a *Allocator) Allocate(hosts []string, gateways int, now time.Duration) map[string][]Grant {
 	grants := make(map[string][]Grant)
-	for _, server := range slices.Sorted(maps.Keys(a.servers)) {
-		s := a.servers[server]
+	for _, id := range slices.SortedFunc(maps.Keys(a.limits), limitID.compare) {
+		s := a.limits[id]
 		if s.isObsolete(now) {
-			delete(a.servers, server)
+			delete(a.limits, id)
 			continue
 		}
 		reached := float64(len(hosts)) / float64(max(gateways, len(hosts), 1))
@@ -103,7 +116,7 @@
 		waits := s.waits(s.statement.effectiveLimit() * reached)
 		for _, host := range hosts {
 			grants[host] = append(grants[host], Grant{
-				Server: server, Statement: s.statement, Permits: issued[host], Waits: waits,
+				Server: id.server, Kind: id.kind, Statement: s.statement, Permits: issued[host], Waits: waits,
 			})
 		}
 	}
@@ -138,7 +151,7 @@
 		s.tokens, s.filledAt = 0, now
 		return issued
 	}
-	s.tokens = min(s.tokens+(now-s.filledAt).Seconds()*share*s.statement.effectiveLimit(), s.maxTokens())
+	s.tokens = min(s.tokens+(now-s.filledAt).Seconds()*share*s.statement.effectiveLimit(), s.terms().MaxPermits)
 	s.filledAt = now
 	for s.tokens >= 1 {
 		host := s.next(hosts, now)
@@ -155,7 +168,7 @@
 // retain limits the members to the given hosts.
 func (s *allocation) retain(hosts []string, now time.Duration) {
 	for _, host := range hosts {
-		s.member(host).expire(now)
+		s.member(host).expire(now, s.terms().PermitLifetime)
 	}
 	if len(s.members) > len(hosts) {
 		maps.DeleteFunc(s.members, func(host string, _ *member) bool { return !slices.Contains(hosts, host) })
@@ -172,7 +185,7 @@
 		}
 	}
 	return s.nextOf(hosts, now, func(m *member) bool {
-		return m.mayHoldMore(now) && (!m.idle(now) || s.tokens >= s.maxTokens()*reservedShare)
+		return m.mayHoldMore(now, s.terms().PermitLifetime) && (!m.idle(now) || s.tokens >= s.terms().MaxPermits*reservedShare)
 	})
 }
 
@@ -198,7 +211,7 @@
 	return best
 }
 
-func (s *allocation) maxTokens() float64 { return burstShare*s.statement.effectiveLimit() + extraBurst }
+func (s *allocation) terms() Terms { return s.termsOf(s.statement.effectiveLimit()) }
 
 func (s *allocation) member(host string) *member {
 	m := s.members[host]
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -55,6 +55,8 @@
 	limit     float64
 	limited   bool
 	messages  []message
+	// kind is the kind of the limit.
+	kind Kind
 	// sent are the times of the requests.
 	sent []time.Duration
 	// wanted counts the requests that arrived.
@@ -62,7 +64,7 @@
 }
 
 func newSimFleet(seed uint64, gateways int) *simFleet {
-	f := &simFleet{random: rand.New(rand.NewPCG(seed, 1)), allocator: NewAllocator(), now: time.Second}
+	f := &simFleet{random: rand.New(rand.NewPCG(seed, 1)), allocator: NewAllocator(SlowStart{}), now: time.Second}
 	for i := range gateways {
 		f.gateways = append(f.gateways, &simGateway{
 			host: fmt.Sprint("g", i), limiter: NewLimiter(f.random.Float64()), connected: true,
@@ -123,6 +125,9 @@
 	g.limiter.Take(f.now, len(f.gateways))
 	f.sent = append(f.sent, f.now)
 	sentAt, limit, limited := f.now, f.limit, f.limited
+	if f.kind == KindSlowStart {
+		return
+	}
 	f.send(func(now time.Duration) { g.limiter.Observe(FromResponse(limit, limited, sentAt, now), now) })
 }
 
@@ -151,7 +156,7 @@
 		}
 		hosts = append(hosts, g.host)
 		if usage, due := g.limiter.Report(f.now, len(f.gateways), Waiting{len(g.waiting)}); due {
-			report := Report{Server: testServer, Statement: g.limiter.Statement(), Usage: usage}
+			report := Report{Server: testServer, Kind: f.kind, Statement: g.limiter.Statement(), Usage: usage}
 			f.send(func(now time.Duration) { f.allocator.Report(g.host, report, now) })
 		}
 	}
@@ -200,7 +205,7 @@
 					g.connected = true
 				}
 			case 2:
-				f.allocator = NewAllocator()
+				f.allocator = NewAllocator(SlowStart{})
 			case 3:
 				for _, g := range f.gateways {
 					g.rate *= 3
@@ -281,7 +286,7 @@
 
 // Guards against less urgent requests that are issued permits before more urgent ones.
 func TestUrgentRequestsFirst(t *testing.T) {
-	a := NewAllocator()
+	a := NewAllocator(SlowStart{})
 	statement := Statement{Limited: true, Limit: 10, At: time.Second}
 	now := time.Second
 	a.Report("a", Report{Server: testServer, Statement: statement, Usage: Usage{Wanted: 9, Waiting: Waiting{0, 0, 9}}}, now)
@@ -298,7 +303,7 @@
 
 // Guards against the limit of a server that is gone, for which permits are issued for ever.
 func TestAllocatorForgetsServer(t *testing.T) {
-	a := NewAllocator()
+	a := NewAllocator(SlowStart{})
 	statement := Statement{Limited: true, Limit: 10, At: time.Second}
 	a.Report("a", Report{Server: testServer, Statement: statement}, time.Second)
 	if a.Allocate([]string{"a"}, 1, time.Second+reportRetention); a.Empty() {
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -3,8 +3,6 @@
 import "time"
 
 const (
-	// PermitLifetime is how long a gateway may use a permit.
-	PermitLifetime = time.Second
 	// allocationTimeout is how long after the last message with permits a gateway relies on the elected one. It is longer
 	// than the pause between two such messages, also if one is late.
 	allocationTimeout = 1500 * time.Millisecond
@@ -12,6 +10,8 @@
 	reportPause = time.Second
 	// endedRetention is how long the end of a limit is reported, so that every gateway learns of it.
 	endedRetention = 5 * time.Second
+	// firstAllocation is the expected time from the start of a limit until the elected gateway issues the first permits.
+	firstAllocation = 300 * time.Millisecond
 )
 
 // Usage is what a gateway did with the rate of a backend server since its last report.
@@ -26,8 +26,12 @@
 
 // Limiter admits the requests of one gateway to one backend server.
 type Limiter struct {
+	kind      Kind
+	termsOf   func(limit float64) Terms
 	statement Statement
 	share     localShare
+	// startedAt is the time at which the last limit started.
+	startedAt time.Duration
 	// expiries are the times at which the unused permits expire, the earliest first.
 	expiries []time.Duration
 	// waits are the expected times until the elected gateway issues a permit, if there is a request for it.
@@ -45,7 +49,23 @@
 
 // NewLimiter returns the limiter of a server that has not named a limit. draw is a random number of at least 0 and less
 // than 1, which spreads the choices that several gateways make without talking to each other.
-func NewLimiter(draw float64) *Limiter { return &Limiter{share: localShare{draw: draw}} }
+func NewLimiter(draw float64) *Limiter {
+	return &Limiter{kind: KindNamed, termsOf: namedTerms, share: localShare{draw: draw}}
+}
+
+// NewSlowStartLimiter returns the limiter of a server for the time after its start. Start and Stop switch it on and off. draw
+// is as in NewLimiter.
+func NewSlowStartLimiter(draw float64, bound SlowStart) *Limiter {
+	return &Limiter{kind: KindSlowStart, termsOf: bound.terms, share: localShare{draw: draw}}
+}
+
+// Start limits the requests to a rate, in requests a second, as of now.
+func (l *Limiter) Start(rate float64, now time.Duration) {
+	l.Observe(Statement{Limited: true, Limit: rate, At: now}, now)
+}
+
+// Stop ends the limit.
+func (l *Limiter) Stop(now time.Duration) { l.Observe(Statement{At: now}, now) }
 
 // Observe applies a statement of the server unless a newer one is known. It reports whether the limit changed.
 func (l *Limiter) Observe(statement Statement, now time.Duration) bool {
@@ -55,7 +75,7 @@
 	}
 	l.statement = statement
 	if !before.Limited && statement.Limited {
-		l.expiries, l.allocatedUntil = nil, 0
+		l.expiries, l.allocatedUntil, l.startedAt = nil, 0, now
 		l.share.reset(now)
 	}
 	if before.Limited && !statement.Limited {
@@ -64,6 +84,9 @@
 	return !before.sameLimit(statement)
 }
 
+// Kind returns the kind of the limit.
+func (l *Limiter) Kind() Kind { return l.kind }
+
 // Statement returns the newest statement of the server.
 func (l *Limiter) Statement() Statement { return l.statement }
 
@@ -75,15 +98,15 @@
 
 // Allocate applies what the elected gateway allocated. It reports whether the limit changed. A statement that is known
 // already is not taken as a newer one, because the age that another gateway states does not include the time of its
-// message.
+// message. A limit that each gateway knows by itself is not learned from a grant.
 func (l *Limiter) Allocate(grant Grant, now time.Duration) bool {
-	changed := !l.statement.sameLimit(grant.Statement) && l.Observe(grant.Statement, now)
+	changed := l.kind == KindNamed && !l.statement.sameLimit(grant.Statement) && l.Observe(grant.Statement, now)
 	if !l.statement.Limited {
 		return changed
 	}
 	l.allocatedUntil, l.waits = now+allocationTimeout, grant.Waits
 	for range grant.Permits {
-		l.expiries = append(l.expiries, now+PermitLifetime)
+		l.expiries = append(l.expiries, now+l.terms().PermitLifetime)
 	}
 	return changed
 }
@@ -131,9 +154,16 @@
 	if l.allocated(now) {
 		return l.waits[level] + perRate(ahead, l.statement.effectiveLimit())
 	}
-	return perRate(ahead+1, l.share.rate(l.statement.effectiveLimit(), gateways))
+	wait := perRate(ahead+1, l.share.rate(l.statement.effectiveLimit(), l.terms(), gateways))
+	if now-l.startedAt < firstAllocation {
+		return min(wait, firstAllocation+perRate(ahead, l.statement.effectiveLimit()))
+	}
+	return wait
 }
 
+// terms returns the terms of the limit in force.
+func (l *Limiter) terms() Terms { return l.termsOf(l.statement.effectiveLimit()) }
+
 // perRate returns the time in which a number of requests is sent, at most a minute.
 func perRate(count int, rate float64) time.Duration {
 	if count == 0 {
@@ -155,7 +185,7 @@
 		l.share.reset(now)
 		return
 	}
-	l.share.advance(now, l.statement.effectiveLimit(), gateways)
+	l.share.advance(now, l.statement.effectiveLimit(), l.terms(), gateways)
 }
 
 // Report returns the usage since the last report, and whether there is anything to report. waiting are the requests
--- a/internal/quota/member.go
+++ b/internal/quota/member.go
@@ -48,8 +48,8 @@
 }
 
 // expire drops permits that the gateway should have reported long ago. They count as used.
-func (m *member) expire(now time.Duration) {
-	for len(m.issued) > 0 && now-m.issued[0] > PermitLifetime+permitReportGrace {
+func (m *member) expire(now, lifetime time.Duration) {
+	for len(m.issued) > 0 && now-m.issued[0] > lifetime+permitReportGrace {
 		m.issued = m.issued[1:]
 	}
 }
@@ -65,6 +65,6 @@
 func (m *member) idle(now time.Duration) bool { return m.currentDemand(now) < idleDemand }
 
 // mayHoldMore reports whether the gateway can use another permit before it expires.
-func (m *member) mayHoldMore(now time.Duration) bool {
-	return float64(len(m.issued)) < 1+m.currentDemand(now)*PermitLifetime.Seconds()
+func (m *member) mayHoldMore(now, lifetime time.Duration) bool {
+	return float64(len(m.issued)) < 1+m.currentDemand(now)*lifetime.Seconds()
 }
--- a/internal/relay/quota.go
+++ b/internal/relay/quota.go
@@ -12,7 +12,7 @@
 	var messages []*wire.QuotaReport
 	for _, report := range reports {
 		messages = append(messages, &wire.QuotaReport{
-			Statement: encodeStatement(report.Server, report.Statement, now),
+			Statement: encodeStatement(report.Server, report.Kind, report.Statement, now),
 			Wanted:    uint32(report.Usage.Wanted),
 			Waiting:   encodeWaiting(report.Usage.Waiting),
 			Used:      uint32(report.Usage.Used),
@@ -28,6 +28,7 @@
 	for _, message := range messages {
 		reports = append(reports, quota.Report{
 			Server:    message.GetStatement().GetServer(),
+			Kind:      decodeLimitKind(message.GetStatement().GetKind()),
 			Statement: decodeStatement(message.GetStatement(), now),
 			Usage: quota.Usage{
 				Wanted: int(message.Wanted), Waiting: decodeWaiting(message.Waiting), Used: int(message.Used), Returned: int(message.Returned),
@@ -42,7 +43,7 @@
 	var messages []*wire.QuotaGrant
 	for _, grant := range grants {
 		messages = append(messages, &wire.QuotaGrant{
-			Statement: encodeStatement(grant.Server, grant.Statement, now),
+			Statement: encodeStatement(grant.Server, grant.Kind, grant.Statement, now),
 			Permits:   uint32(grant.Permits),
 			WaitsMs:   encodeWaits(grant.Waits),
 		})
@@ -56,6 +57,7 @@
 	for _, message := range messages {
 		grants = append(grants, quota.Grant{
 			Server:    message.GetStatement().GetServer(),
+			Kind:      decodeLimitKind(message.GetStatement().GetKind()),
 			Statement: decodeStatement(message.GetStatement(), now),
 			Permits:   int(message.Permits),
 			Waits:     decodeWaits(message.WaitsMs),
@@ -65,13 +67,27 @@
 }
 
 // encodeStatement encodes a time as an age, because the clocks of gateways differ.
-func encodeStatement(server uint32, statement quota.Statement, now time.Duration) *wire.RateStatement {
+func encodeStatement(server uint32, kind quota.Kind, statement quota.Statement, now time.Duration) *wire.RateStatement {
 	age := max(0, now-statement.At)
 	return &wire.RateStatement{
 		Server: server, Limited: statement.Limited, Limit: statement.Limit, AgeMs: uint32(age.Milliseconds()),
+		Kind: limitKinds[kind],
 	}
 }
 
+// limitKinds maps kinds of limits to their encoded form.
+var limitKinds = map[quota.Kind]wire.LimitKind{
+	quota.KindNamed:     wire.LimitKind_LIMIT_KIND_NAMED,
+	quota.KindSlowStart: wire.LimitKind_LIMIT_KIND_SLOW_START,
+}
+
+func decodeLimitKind(kind wire.LimitKind) quota.Kind {
+	if kind == wire.LimitKind_LIMIT_KIND_SLOW_START {
+		return quota.KindSlowStart
+	}
+	return quota.KindNamed
+}
+
 func decodeStatement(message *wire.RateStatement, now time.Duration) quota.Statement {
 	return quota.Statement{
 		Limited: message.GetLimited(),
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -49,6 +49,16 @@
 	Sharded bool
 	// Warmup is how long requests are slow for keys that moved to a server without a handover.
 	Warmup time.Duration
+	// SlowStart limits the requests to a backend server that has just started. A zero rate is no limit.
+	SlowStart SlowStart
+}
+
+// SlowStart is how a backend server of a service takes requests after its start.
+type SlowStart struct {
+	// Period is how long a server starts slowly if its entry does not tell.
+	Period time.Duration
+	// Rate is the number of requests a second that a server takes from all gateways together meanwhile.
+	Rate float64
 }
 
 // Limits restrict the size of requests and the time for receiving them.
--- a/internal/serverstate/state.go
+++ b/internal/serverstate/state.go
@@ -28,8 +28,10 @@
 	// registered is the entry in the store.
 	registered directory.RegisteredServer
 	// zone is the state of the availability zone of the server.
-	zone   zones.State
-	notice Notice
+	zone zones.State
+	// slowStart is how long the server starts slowly after the drain of its zone was taken back.
+	slowStart time.Duration
+	notice    Notice
 	// position is the place of this gateway among those that come back to the server after a hold-off, from 0 to 1.
 	position float64
 }
@@ -125,5 +127,11 @@
 	return registered.DrainingSince, registered.Draining
 }
 
-// WarmingUp reports whether the server has less capacity than later.
-func (s *State) WarmingUp(now time.Duration) bool { return now < s.registered.WarmupUntil }
+// SetSlowStart sets how long the server starts slowly if its entry does not tell.
+func (s *State) SetSlowStart(period time.Duration) { s.slowStart = period }
+
+// WarmingUp reports whether the server has less capacity than later. A server whose zone was taken back counts as started
+// then: its next entry tells only later whether it is.
+func (s *State) WarmingUp(now time.Duration) bool {
+	return now < s.registered.WarmupUntil || s.zone.ReturnedAt > 0 && now < s.zone.ReturnedAt+s.slowStart
+}
