placing: heed the run time factor that servers report

Cause: the adapter took exactly three figures of a server's load and dropped the whole header with a fourth, so on deployments that state it no gateway used any reported load.

Change: the fourth figure is the run time factor of the server's machine. It decides between servers, weighed by its age, relative to its mean, which the measured run times contain already; it does not decide whether a server has room, and makes none a suspect.

--- a/internal/dispatch/reservation.go
+++ b/internal/dispatch/reservation.go
@@ -95,6 +95,9 @@
 	}
 	if result.HasLoad {
 		r.server.peerLoad.Report(result.Load.Running+result.Load.Queued, r.server.ownRequests, now)
+		if result.Load.RunTimeFactor > 0 {
+			r.server.slowdown.Report(result.Load.RunTimeFactor, now)
+		}
 	}
 	if result.NotSent {
 		r.server.limits.giveBack()
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -25,6 +25,7 @@
 	ownRequests int
 	peerLoad    placing.PeerLoad
 	runTime     placing.RunTimeEstimate
+	slowdown    placing.Slowdown
 	// sharedRunTime is the run time of requests as measured by all gateways; 0 if unknown.
 	sharedRunTime time.Duration
 	// peerRequests is the number of other gateways' requests, as exchanged between gateways at peerRequestsAt.
@@ -67,6 +68,7 @@
 		OwnRequests:  s.ownRequests,
 		PeerRequests: s.estimatePeerRequests(now, meanPeerRequests),
 		RunTime:      runTime,
+		Slowdown:     s.slowdown.Estimate(now),
 		NetworkCost:  networkCost,
 		FailureRate:  s.known.Failures.FailureRate(now),
 	}
--- a/internal/exchange/headers.go
+++ b/internal/exchange/headers.go
@@ -58,4 +58,7 @@
 	Running int
 	Queued  int
 	Slots   int
+	// RunTimeFactor is how long requests take on the server's machine at the moment: 1 means as long as usual. It is 0 if
+	// the server does not state it.
+	RunTimeFactor float64
 }
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -20,6 +20,9 @@
 	PeerRequests float64
 	// RunTime is the expected run time of a request on this server.
 	RunTime time.Duration
+	// Slowdown is the run time at the moment relative to RunTime. 0 counts as 1. It decides between servers, not whether
+	// one has room: it changes faster than a queue empties.
+	Slowdown float64
 	// NetworkCost is the time added for reaching the server: the round trip, and a surcharge for traffic between
 	// zones.
 	NetworkCost time.Duration
@@ -71,6 +74,9 @@
 // server.
 func (s Server) ExpectedLatency() time.Duration {
 	latency := s.NetworkCost + s.Wait() + s.RunTime
+	if s.Slowdown > 0 {
+		latency = s.NetworkCost + time.Duration(s.Slowdown*float64(s.Wait()+s.RunTime))
+	}
 	const maxFailureRate = 0.9
 	successRate := 1 - min(s.FailureRate, maxFailureRate)
 	return time.Duration(float64(latency) / (successRate * successRate))
