--- a/internal/controller/assign.go
+++ b/internal/controller/assign.go
@@ -205,20 +205,29 @@
 	}
 	slices.SortFunc(servers, func(a, b directory.RegisteredServer) int { return cmp.Compare(a.ID, b.ID) })
 	runTimes := c.runTimes(servers)
+	slowStart := c.slowStart(service)
 	candidates := make([]ownership.Candidate, len(servers))
 	for i, server := range servers {
 		capacity := float64(server.Slots) / runTimes[i].Seconds()
 		if limit, limited := c.allocator.Limit(relay.ServerHash(server.Incarnation())); limited {
 			capacity = min(capacity, limit)
 		}
-		if c.warmsUp(server, c.config.Services[service].SlowStart.Period) {
-			capacity = warmupCapacity(capacity, c.config.Services[service].SlowStart)
+		if c.warmsUp(server, slowStart.Period) {
+			capacity = warmupCapacity(capacity, slowStart)
 		}
 		candidates[i] = ownership.Candidate{Holder: holderOf(server.Server), Capacity: capacity}
 	}
 	return candidates
 }
 
+// slowStart returns how the servers of a service start. It is zero before a configuration is known.
+func (c *Controller) slowStart(service string) routing.SlowStart {
+	if c.config == nil {
+		return routing.SlowStart{}
+	}
+	return c.config.Services[service].SlowStart
+}
+
 // warmsUp reports whether a server has less capacity than later: it has just started, or its zone was taken back within the
 // period in which its servers start slowly.
 func (c *Controller) warmsUp(server directory.RegisteredServer, slowStart time.Duration) bool {
