relay: send request counts and run times as vectors

Change: the elected gateway numbers the servers once (relay.Index); counts are four bits a server, run times one byte. Gateways report only run times that have changed. A vector of an unknown index is left out.

--- a/internal/controller/broadcast.go
+++ b/internal/controller/broadcast.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -34,6 +36,9 @@
 	nextHeartbeat time.Duration
 	nextLoads     time.Duration
 	nextRunTimes  time.Duration
+	// index numbers the backend servers in what is sent to the other gateways, as of indexedServersVersion.
+	index                 *relay.Index
+	indexedServersVersion int
 	// loads are the request counts by backend server that were last sent to the other gateways.
 	loads map[uint32]int
 	// averageRunTime is the average run time of requests, or 0 until there are measurements.
@@ -85,7 +90,9 @@
 		runTimes := c.aggregator.RunTimes()
 		c.broadcasts.averageRunTime = relay.AverageRunTime(runTimes)
 		c.DataPlane.SetRunTimes(runTimes)
-		heartbeat.Works = relay.EncodeRunTimes(runTimes)
+		if c.broadcasts.index != nil {
+			heartbeat.RunTimes = relay.EncodeRunTimeVector(c.broadcasts.index, runTimes)
+		}
 	}
 	c.broadcast(heartbeat)
 }
@@ -98,17 +105,47 @@
 	return reportInterval(c.aggregator.Gateways(), c.Cores, c.broadcasts.averageRunTime)
 }
 
-// broadcastLoads sends the changes of the request counts by backend server, summed over all gateways.
+// broadcastLoads sends the request counts by backend server, summed over all gateways, if any has changed.
 func (c *Controller) broadcastLoads(now time.Duration) {
 	c.broadcasts.nextLoads = now + c.currentReportInterval()
 	loads := c.aggregator.Loads()
 	c.DataPlane.SetLoads(loads)
-	changes := relay.LoadChanges(c.broadcasts.loads, loads)
-	if len(changes) == 0 {
+	message := &wire.RelayDown{}
+	if c.updateIndex(loads) {
+		message.Index = relay.EncodeIndex(c.broadcasts.index)
+	} else if maps.Equal(c.broadcasts.loads, loads) {
 		return
 	}
 	c.broadcasts.loads = loads
-	c.broadcast(&wire.RelayDown{LoadChanged: true, Load: relay.EncodeLoads(changes)})
+	message.Loads = relay.EncodeLoadVector(c.broadcasts.index, loads)
+	c.broadcast(message)
+}
+
+// updateIndex makes an index of the backend servers if it lacks any, and reports whether it did.
+func (c *Controller) updateIndex(loads map[uint32]int) bool {
+	b := &c.broadcasts
+	version := uint32(1)
+	if b.index != nil {
+		complete := b.indexedServersVersion == c.serversVersion
+		for server := range loads {
+			complete = complete && b.index.Contains(server)
+		}
+		if complete {
+			return false
+		}
+		version = b.index.Version() + 1
+	}
+	servers := slices.Collect(maps.Keys(loads))
+	for _, server := range c.directory.Servers() {
+		servers = append(servers, relay.ServerHash(server.Incarnation()))
+	}
+	next := relay.NewIndex(version, servers)
+	b.indexedServersVersion = c.serversVersion
+	if b.index != nil && slices.Equal(next.Servers(), b.index.Servers()) {
+		return false
+	}
+	b.index = next
+	return true
 }
 
 // ownSession is the session ID of the reports of this gateway itself.
@@ -117,7 +154,8 @@
 // collectOwnReport adds the report of this gateway itself to those of the others.
 func (c *Controller) collectOwnReport() {
 	report := &wire.RelayUp{
-		HasLoad: true, Load: relay.EncodeLoads(c.DataPlane.Loads()), Works: relay.EncodeRunTimes(c.DataPlane.RunTimes()),
+		HasLoad: true, Load: relay.EncodeLoads(c.DataPlane.Loads()),
+		AllRunTimes: true, RunTimes: relay.EncodeRunTimes(c.DataPlane.RunTimes()),
 	}
 	report.Keys, report.Refused = c.reports.drain()
 	c.markLeaving(c.Host, c.DataPlane.LeavingServers())
@@ -162,9 +200,15 @@
 	})
 }
 
-// sendLoads sends all request counts by backend server. Later messages contain only changes to them.
+// sendLoads sends the index of the backend servers and the request counts. Later messages refer to the index.
 func (c *Controller) sendLoads(session *relay.Session) {
-	message, err := c.encode(&wire.RelayDown{HasLoad: true, Load: relay.EncodeLoads(c.broadcasts.loads)})
+	index := c.broadcasts.index
+	if index == nil {
+		return
+	}
+	message, err := c.encode(&wire.RelayDown{
+		Index: relay.EncodeIndex(index), Loads: relay.EncodeLoadVector(index, c.broadcasts.loads),
+	})
 	if err != nil {
 		c.Log.WithError(err).Error("failed to encode request counts; the connected gateway uses the load reported by the servers")
 		return
--- a/internal/controller/fuzz_test.go
+++ b/internal/controller/fuzz_test.go
@@ -27,7 +27,7 @@
 		{Full: true, AsOf: 5, Items: []*wire.RelayItem{item}},
 		{Fresh: true, AsOf: 6, Gateways: 3, ReportMs: 100},
 		{Tables: []*wire.OwnershipDelta{{Service: "s", Base: 5, Revision: 7}}},
-		{HasLoad: true, Load: relay.EncodeLoads(map[uint32]int{7: 3})},
+		{Index: relay.EncodeIndex(relay.NewIndex(1, []uint32{7})), Loads: relay.EncodeLoadVector(relay.NewIndex(1, []uint32{7}), map[uint32]int{7: 3})},
 	} {
 		encoded, err := proto.Marshal(message)
 		if err != nil {
--- a/internal/controller/source.go
+++ b/internal/controller/source.go
@@ -24,6 +24,9 @@
 	redialDelay = 400 * time.Millisecond
 	// reportsPerRunTimes is the number of report intervals per report that includes run times.
 	reportsPerRunTimes = 20
+	// reportsPerAllRunTimes is the number of report intervals per report that includes all run times, not only those that
+	// have changed.
+	reportsPerAllRunTimes = 16 * reportsPerRunTimes
 	// maxReportPause is the longest time between two reports, however long the report interval is. The elected gateway
 	// closes a connection without reports.
 	maxReportPause = time.Second
@@ -43,8 +46,9 @@
 	lastFresh time.Duration
 	// connectionID is the number of the current connection. Messages of earlier connections are ignored.
 	connectionID int
-	// loads are the request counts by backend server, summed over all gateways. It is nil until the elected gateway has
-	// sent them.
+	// index numbers the backend servers in messages of the elected gateway, and loads are the request counts by backend
+	// server, summed over all gateways. Both are nil until the elected gateway has sent them.
+	index *relay.Index
 	loads map[uint32]int
 }
 
@@ -98,7 +102,7 @@
 		return
 	}
 	s.connectionID++
-	s.loads = nil
+	s.index, s.loads = nil, nil
 	connectionID := s.connectionID
 	ctx, s.stopRelay = context.WithCancel(ctx)
 	client := &relay.Client{
@@ -153,9 +157,7 @@
 	if message.ReportMs > 0 {
 		c.reportInterval.Store(int64(time.Duration(message.ReportMs) * time.Millisecond))
 	}
-	if len(message.Works) > 0 {
-		c.DataPlane.SetRunTimes(relay.DecodeRunTimes(message.Works))
-	}
+	c.applyRunTimes(message)
 	era := kv.Era(message.Era)
 	update := mirror.Update{Full: message.Full, AsOf: kv.Revision{Era: era, Number: message.AsOf}}
 	for _, item := range message.Items {
@@ -208,19 +210,36 @@
 // applyLoads applies the request counts by backend server, summed over all gateways. A heartbeat without counts
 // confirms the current ones.
 func (c *Controller) applyLoads(message *wire.RelayDown) {
+	if message.Index != nil {
+		c.source.index = relay.DecodeIndex(message.Index)
+	}
 	switch {
-	case message.HasLoad:
-		c.source.loads = relay.DecodeLoads(message.Load)
-	case c.source.loads == nil:
-		return
-	case message.LoadChanged:
-		relay.ApplyLoadChanges(c.source.loads, relay.DecodeLoads(message.Load))
-	case !message.Fresh:
+	case message.Loads != nil:
+		loads, err := relay.DecodeLoadVector(c.source.index, message.Loads)
+		if err != nil {
+			c.Log.WithError(err).Debug("request counts of the elected gateway left out")
+			return
+		}
+		c.source.loads = loads
+	case c.source.loads == nil || !message.Fresh:
 		return
 	}
 	c.DataPlane.SetLoads(c.source.loads)
 }
 
+// applyRunTimes applies the run times of requests, as measured by all gateways.
+func (c *Controller) applyRunTimes(message *wire.RelayDown) {
+	if message.RunTimes == nil {
+		return
+	}
+	runTimes, err := relay.DecodeRunTimeVector(c.source.index, message.RunTimes)
+	if err != nil {
+		c.Log.WithError(err).Debug("run times of the elected gateway left out")
+		return
+	}
+	c.DataPlane.SetRunTimes(runTimes)
+}
+
 // applyTableDelta applies a change to an ownership table. If earlier changes were missed, it closes the connection, so
 // that the elected gateway sends everything again after the reconnect.
 func (c *Controller) applyTableDelta(delta *wire.OwnershipDelta, era kv.Era) {
@@ -252,6 +271,7 @@
 // there is nothing to report.
 func (c *Controller) reportCollector() func() *wire.RelayUp {
 	var last map[uint32]int
+	var lastRunTimes map[uint32]relay.RunTime
 	var lastLeaving []directory.Incarnation
 	var next, lastSent time.Duration
 	count := 0
@@ -270,7 +290,13 @@
 		}
 		due := count%reportsPerRunTimes == 0
 		if due {
-			report.Works = relay.EncodeRunTimes(c.DataPlane.RunTimes())
+			runTimes := c.DataPlane.RunTimes()
+			report.AllRunTimes = count%reportsPerAllRunTimes == 0
+			if report.AllRunTimes {
+				lastRunTimes = nil
+			}
+			report.RunTimes = relay.EncodeRunTimes(relay.ChangedRunTimes(lastRunTimes, runTimes))
+			lastRunTimes = runTimes
 		}
 		if leaving := c.DataPlane.LeavingServers(); due || !slices.Equal(leaving, lastLeaving) {
 			lastLeaving = leaving
--- a/internal/relay/aggregator.go
+++ b/internal/relay/aggregator.go
@@ -58,9 +58,10 @@
 	if report.HasLoad {
 		latest.loads = DecodeLoads(report.Load)
 	}
-	if len(report.Works) > 0 {
-		latest.runTimes = DecodeRunTimes(report.Works)
+	if report.AllRunTimes || latest.runTimes == nil {
+		latest.runTimes = make(map[uint32]RunTime)
 	}
+	maps.Copy(latest.runTimes, DecodeRunTimes(report.RunTimes))
 }
 
 // Remove drops the reports of a gateway whose session has ended, unless it has connected again.
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -2,7 +2,7 @@
 
 import (
 	"encoding/binary"
-	"time"
+	"math"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -32,34 +32,6 @@
 	return message
 }
 
-// LoadChanges returns the request counts that differ between before and after. A server that has no requests any more
-// is listed with a count of 0.
-func LoadChanges(before, after map[uint32]int) map[uint32]int {
-	changes := make(map[uint32]int)
-	for server, requests := range after {
-		if before[server] != requests {
-			changes[server] = requests
-		}
-	}
-	for server := range before {
-		if _, ok := after[server]; !ok {
-			changes[server] = 0
-		}
-	}
-	return changes
-}
-
-// ApplyLoadChanges applies changes to request counts in place.
-func ApplyLoadChanges(loads, changes map[uint32]int) {
-	for server, requests := range changes {
-		if requests == 0 {
-			delete(loads, server)
-			continue
-		}
-		loads[server] = requests
-	}
-}
-
 // DecodeLoads decodes request counts by server.
 func DecodeLoads(message *wire.ServerLoads) map[uint32]int {
 	loads := make(map[uint32]int, len(message.GetServers()))
@@ -72,27 +44,38 @@
 }
 
 // EncodeRunTimes encodes run times by server.
-func EncodeRunTimes(runTimes map[uint32]RunTime) []*wire.ServerWork {
-	var messages []*wire.ServerWork
+func EncodeRunTimes(runTimes map[uint32]RunTime) *wire.RunTimes {
+	message := &wire.RunTimes{}
 	for server, runTime := range runTimes {
-		messages = append(messages, &wire.ServerWork{
-			Server: server, MeanUs: uint32(runTime.Mean.Microseconds()), Measurements: uint32(runTime.Measurements),
-		})
+		message.Servers = append(message.Servers, server)
+		message.Means = append(message.Means, encodeRunTime(runTime.Mean))
+		message.Measurements = append(message.Measurements, byte(min(runTime.Measurements, math.MaxUint8)))
 	}
-	return messages
+	return message
 }
 
 // DecodeRunTimes decodes run times by server.
-func DecodeRunTimes(messages []*wire.ServerWork) map[uint32]RunTime {
-	runTimes := make(map[uint32]RunTime, len(messages))
-	for _, runTime := range messages {
-		runTimes[runTime.Server] = RunTime{
-			Mean: time.Duration(runTime.MeanUs) * time.Microsecond, Measurements: int(runTime.Measurements),
+func DecodeRunTimes(message *wire.RunTimes) map[uint32]RunTime {
+	runTimes := make(map[uint32]RunTime, len(message.GetServers()))
+	for i, server := range message.GetServers() {
+		if i < len(message.Means) && i < len(message.Measurements) {
+			runTimes[server] = RunTime{Mean: decodeRunTime(message.Means[i]), Measurements: int(message.Measurements[i])}
 		}
 	}
 	return runTimes
 }
 
+// ChangedRunTimes returns the run times that differ between before and after.
+func ChangedRunTimes(before, after map[uint32]RunTime) map[uint32]RunTime {
+	changed := make(map[uint32]RunTime)
+	for server, runTime := range after {
+		if before[server] != runTime {
+			changed[server] = runTime
+		}
+	}
+	return changed
+}
+
 // EncodeEvent encodes a change of the store. The message that contains it states the era.
 func EncodeEvent(event kv.Event) *wire.RelayItem {
 	return &wire.RelayItem{
