ownership: tell the load of keys from chance before moving them

Change: KeyRates holds a steady and a recent average; the steady one counts within what the recent requests of the key and of its block of neighbours leave possible. A server is relieved only if chance does not explain its load.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -96,7 +96,7 @@
 	tables    map[string]*ownership.Table
 	election  *election.Election
 	assigners map[string]*assignment
-	meters    map[string]*ownership.RateMeter
+	meters    map[string]*ownership.KeyRates
 	// allocator divides the rates of backend servers while this gateway is the elected one.
 	allocator *quota.Allocator
 	// items is the contents of the store by key, complete up to revision asOf.
@@ -148,7 +148,7 @@
 		leaders:    make(map[string]time.Duration),
 		remembered: make(map[string]bool),
 		witnesses:  make(map[string]map[string]ownership.Token),
-		meters:     make(map[string]*ownership.RateMeter),
+		meters:     make(map[string]*ownership.KeyRates),
 		allocator:  quota.NewAllocator(options.SlowStart),
 		items:      make(map[string]kv.Item),
 
--- a/internal/controller/publish.go
+++ b/internal/controller/publish.go
@@ -61,10 +61,10 @@
 }
 
 // rateMeter returns the meter of the request rates of the keys of a service, which it creates if necessary.
-func (c *Controller) rateMeter(service string) *ownership.RateMeter {
+func (c *Controller) rateMeter(service string) *ownership.KeyRates {
 	meter := c.meters[service]
 	if meter == nil {
-		meter = ownership.NewRateMeter(c.Ownership.Keys, rateHalfLife)
+		meter = ownership.NewKeyRates(c.Ownership.Keys)
 		c.meters[service] = meter
 	}
 	return meter
@@ -74,6 +74,3 @@
 func holderOf(server directory.Server) ownership.Holder {
 	return ownership.Holder{ID: server.ID, StartedAtMs: server.StartedAtMs, Addr: server.Addr}
 }
-
-// rateHalfLife is the half-life of the moving averages of the request rates of keys.
-const rateHalfLife = 800 * time.Millisecond
--- a/internal/ownership/balance.go
+++ b/internal/ownership/balance.go
@@ -29,7 +29,7 @@
 		if from == nil || from.utilization() < mean*d.settings.Tolerance || from.utilization() < d.settings.IdleUtilization {
 			return
 		}
-		if !d.offload(from, mean) {
+		if from.certainUtilization() < mean*d.settings.Tolerance || !d.offload(from, mean) {
 			skipped[from] = true
 		}
 	}
--- a/internal/ownership/draft.go
+++ b/internal/ownership/draft.go
@@ -63,6 +63,12 @@
 // utilization returns the request rate of a server as a fraction of its capacity.
 func (s *draftServer) utilization() float64 { return s.rate / s.Capacity }
 
+// certainUtilization returns the utilization of a server less what chance may add to its measured rate.
+func (s *draftServer) certainUtilization() float64 {
+	const deviations = 2
+	return (s.rate - deviations*steadyDeviation(s.rate)) / s.Capacity
+}
+
 // meanUtilization returns the utilization that every server would have under an even load.
 func (d *draft) meanUtilization() float64 {
 	capacity := 0.0
--- a/internal/ownership/ratemeter.go
+++ b/internal/ownership/ratemeter.go
@@ -46,8 +46,18 @@
 // Rate implements Load. Shortly after the start it extrapolates from the part of the averaging window that has been
 // observed.
 func (m *RateMeter) Rate(key int) float64 {
+	return m.counts[key] / m.observedSeconds()
+}
+
+// observedSeconds returns the weight of the averaging window that has been observed.
+func (m *RateMeter) observedSeconds() float64 {
 	window := m.halfLife.Seconds() / math.Ln2
 	observedShare := 1 - math.Exp(-(m.updatedAt-m.startedAt).Seconds()/window)
 	const minObservedShare = 0.1
-	return m.counts[key] / (window * max(observedShare, minObservedShare))
+	return window * max(observedShare, minObservedShare)
+}
+
+// samplePeriod returns the time in seconds over which requests would have to be counted to give rates as exact as these.
+func (m *RateMeter) samplePeriod() float64 {
+	return averagedSeconds(m.halfLife) * m.observedSeconds() / (m.halfLife.Seconds() / math.Ln2)
 }
