admission, placing: leave room for urgent and timely requests

Cause: the order of a queue holds within one gateway; the last slots of a server went to whoever asked through another one, and requests that came back after a refusal counted as new, also when their objective had passed.

Change: a request leaves a part of a full server's slots free, by how much of the demand is more urgent and whether it is late. What a client states as its timeout tells how long ago it asked first; the objective counts from there. Levels of urgency have a package of their own.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -13,8 +13,9 @@
 
 // Request is a request for which no backend server has room. Times are relative to the start of the process.
 type Request struct {
+	// Arrived is when the client first sent the request, as far as known.
 	Arrived time.Duration
-	// TargetAt is when the latency objective expires.
+	// TargetAt is when the latency objective expires, counted from Arrived.
 	TargetAt time.Duration
 	// Deadline is when the client gives up or the timeout of the route expires.
 	Deadline time.Duration
@@ -39,6 +40,9 @@
 	return wait <= max(maxOnTimeWait, maxLateWait)
 }
 
+// IsLate reports whether a request would miss its latency objective if it was sent now.
+func (r Request) IsLate(now, runTime time.Duration) bool { return now+runTime > r.TargetAt }
+
 // CannotMeetDeadline reports whether a queued request can no longer be answered before its deadline.
 func CannotMeetDeadline(r Request, now, runTime time.Duration) bool {
 	const minRunTimeRatio = 0.7
@@ -66,7 +70,7 @@
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
-	aLate, bLate := now+runTime > a.TargetAt, now+runTime > b.TargetAt
+	aLate, bLate := a.IsLate(now, runTime), b.IsLate(now, runTime)
 	if aLate != bLate {
 		return bLate
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -252,6 +252,7 @@
 	if s == nil {
 		return nil, nil, &Refusal{Reason: ReasonNoServer, Wait: slowMoveWait}
 	}
+	s.mix.Observe(request.Priority, now)
 	ahead := s.countAhead(request, now)
 	c := s.choose(request, now, ahead)
 	c.countDemand()
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sapphireplank/sapphireplank/internal/quota"
+	"github.com/sapphireplank/sapphireplank/internal/urgency"
 )
 
 // observeLimit applies what a backend server stated about its request rate.
@@ -39,7 +40,7 @@
 func (s *service) limitedWait(request *AcquireRequest, limited []*server, ahead int, now time.Duration) time.Duration {
 	shortest := slowMoveWait
 	for _, server := range limited {
-		wait := server.limits.wait(quota.Level(request.Priority), ahead/len(limited), now, s.gateways)
+		wait := server.limits.wait(urgency.Level(request.Priority), ahead/len(limited), now, s.gateways)
 		shortest = min(shortest, wait)
 	}
 	return shortest
@@ -73,7 +74,7 @@
 			if limited := s.choose(w.request, now, 0).limited; len(limited) > 0 {
 				server := limited[i%len(limited)]
 				counts := waiting[server]
-				counts[quota.Level(w.request.Priority)]++
+				counts[urgency.Level(w.request.Priority)]++
 				waiting[server] = counts
 			}
 		}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/sapphireplank/sapphireplank/internal/admission"
 	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/ownership"
 	"github.com/sapphireplank/sapphireplank/internal/placing"
@@ -37,8 +38,10 @@
 	// movingSince holds the time at which this gateway first saw a row being moved, by the token of the row.
 	movingSince map[ownership.Token]time.Duration
 	runTime     placing.RunTimeEstimate
-	queue       []*waiter
-	random      *rand.Rand
+	// mix is the demand by urgency.
+	mix    admission.Mix
+	queue  []*waiter
+	random *rand.Rand
 	// gateways is the number of gateways that share the limits of the servers.
 	gateways int
 	// slowStart limits the requests to servers that have just started.
@@ -113,7 +116,7 @@
 		return s.withoutCandidates(now, meanRunTime)
 	}
 	candidates.State = state
-	if i := placing.Choose(candidates, placing.Limits{Target: request.Target}, s.random); i >= 0 {
+	if i := placing.Choose(candidates, s.placingLimits(request, now), s.random); i >= 0 {
 		chosen := state(i)
 		return choice{server: s.servers[i], state: chosen, runTime: chosen.RunTime}
 	}
@@ -236,10 +239,11 @@
 		wait := s.limitedWait(request, limited, ahead, now)
 		return choice{reason: ReasonLimited, limited: limited, wait: wait, runTime: state.RunTime}
 	}
-	if state.HasRoom(placing.Limits{Target: request.Target}) {
+	limits := s.placingLimits(request, now)
+	if state.HasRoom(limits) {
 		return choice{server: owner, state: state, token: row.Token, runTime: state.RunTime}
 	}
-	return choice{reason: ReasonFull, wait: waitForRoom(state, ahead), runTime: state.RunTime}
+	return choice{reason: ReasonFull, wait: waitForRoom(state, ahead) + headroomWait(state, limits), runTime: state.RunTime}
 }
 
 // allZonesDrained reports whether no server remains to which keys could move, because the zones of all are drained.
@@ -256,6 +260,17 @@
 	return time.Duration(float64(ahead+1) / (float64(state.Slots) * share) * float64(state.RunTime))
 }
 
+// headroomWait returns the time until the places that a request leaves free for others are free.
+func headroomWait(state placing.Server, limits placing.Limits) time.Duration {
+	return time.Duration(limits.Headroom * float64(state.RunTime))
+}
+
+// placingLimits returns how full a server may be for a request.
+func (s *service) placingLimits(request *AcquireRequest, now time.Duration) placing.Limits {
+	late := request.IsLate(now, s.meanRunTime(request))
+	return placing.Limits{Target: request.Target, Headroom: admission.Headroom(s.mix.MoreUrgent(request.Priority), late)}
+}
+
 // owner returns the ownership row of a key and its server. The server is nil if this gateway does not know it.
 func (s *service) owner(key int) (*ownership.Row, *server) {
 	if s.owners == nil {
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -58,13 +58,14 @@
 type Handler struct {
 	Options
 	splitter *routing.Splitter
+	patience *routePatience
 	// served counts successful responses; a sample of these is logged.
 	served atomic.Int64
 }
 
 // New returns a server for client connections.
 func New(options Options) *Server {
-	h := &Handler{Options: options, splitter: routing.NewSplitter()}
+	h := &Handler{Options: options, splitter: routing.NewSplitter(), patience: newRoutePatience()}
 	return &Server{
 		handle:   h.handle,
 		limits:   h.limits,
@@ -147,8 +148,12 @@
 		HasKey:  metadata.HasKey,
 		Target:  route.Target,
 	}
-	f.acquireRequest.Arrived = arrived
-	f.acquireRequest.TargetAt = arrived + route.Target
+	firstSent := arrived
+	if metadata.HasTimeout {
+		firstSent -= h.patience.observe(route.Name, metadata.Timeout, arrived)
+	}
+	f.acquireRequest.Arrived = firstSent
+	f.acquireRequest.TargetAt = firstSent + route.Target
 	f.acquireRequest.Deadline = arrived + min(timeout, route.Timeout)
 	f.acquireRequest.Priority = route.Priority
 	return f
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -34,6 +34,8 @@
 type Limits struct {
 	// Target is the latency objective of the request.
 	Target time.Duration
+	// Headroom is the part of a server's slots that the request leaves free for others.
+	Headroom float64
 }
 
 const (
@@ -55,7 +57,7 @@
 func (s Server) Capacity(limits Limits) float64 {
 	spare := float64(limits.Target-s.NetworkCost)/float64(s.RunTime) - runTimeMargin
 	queue := min(max(spare, minQueuePerSlot), maxQueuePerSlot)
-	return float64(s.Slots) * (1 + queue)
+	return float64(s.Slots) * (1 + queue - limits.Headroom)
 }
 
 // HasRoom reports whether the server can take one more request.
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/urgency"
 )
 
 const (
@@ -178,7 +180,7 @@
 // next returns the host that gets the next permit, or "" if none can use another one: first hosts at which the most
 // urgent requests wait, then hosts that will need one.
 func (s *allocation) next(hosts []string, now time.Duration) string {
-	for level := range Levels {
+	for level := range urgency.Levels {
 		waiting := func(m *member) bool { return m.waiting[level] > 0 }
 		if host := s.nextOf(hosts, now, waiting); host != "" {
 			return host
--- a/internal/relay/quota.go
+++ b/internal/relay/quota.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sapphireplank/sapphireplank/internal/quota"
+	"github.com/sapphireplank/sapphireplank/internal/urgency"
 	"github.com/sapphireplank/sapphireplank/internal/wire"
 )
 
@@ -107,7 +108,7 @@
 func decodeWaiting(counts []uint32) quota.Waiting {
 	var waiting quota.Waiting
 	for level, count := range counts {
-		waiting[quota.Level(level)] += int(count)
+		waiting[urgency.Level(level)] += int(count)
 	}
 	return waiting
 }
@@ -123,7 +124,7 @@
 func decodeWaits(ms []uint32) quota.Waits {
 	var waits quota.Waits
 	for level, wait := range ms {
-		waits[quota.Level(level)] = time.Duration(wait) * time.Millisecond
+		waits[urgency.Level(level)] = time.Duration(wait) * time.Millisecond
 	}
 	return waits
 }
