relay: compress long messages to other gateways

Entries of servers are JSON and alike.

Change: messages above 1 KB are compressed once, for all receivers. A frame that unpacks to more than a frame may have ends the connection.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -49,8 +49,8 @@
 		if err := conn.SetReadDeadline(time.Now().Add(clientReadTimeout)); err != nil {
 			return err
 		}
-		message := &wire.RelayDown{}
-		if err := wire.ReadMessage(reader, wire.FrameRelay, message); err != nil {
+		message, err := readMessage(reader)
+		if err != nil {
 			return err
 		}
 		c.Receive(message)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -75,11 +75,6 @@
 // Message is an encoded message to other gateways.
 type Message []byte
 
-// Encode encodes a message, so that it is encoded only once for all sessions that receive it.
-func Encode(message *wire.RelayDown) (Message, error) {
-	return wire.AppendMessage(nil, wire.FrameRelay, message)
-}
-
 // Close ends the connection.
 func (s *Session) Close() {
 	s.closeOnce.Do(func() {
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -20,6 +20,8 @@
 	FrameControl      FrameType = 5
 	FrameQuery        FrameType = 6
 	FrameRelay        FrameType = 7
+	// FrameCompressedRelay is a FrameRelay whose payload is compressed with DEFLATE.
+	FrameCompressedRelay FrameType = 8
 )
 
 const (
