relay, capacity: take rooms out of the controller

Change: package capacity estimates what servers can run; relay has the sender and receiver of request counts, the buffer of reports and the count of gateways; the directory tells whether a zone has servers. No change of what is sent or decided.

--- a/internal/controller/assign.go
+++ b/internal/controller/assign.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sapphireplank/sapphireplank/internal/boottime"
+	"github.com/sapphireplank/sapphireplank/internal/capacity"
 	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/election"
 	"github.com/sapphireplank/sapphireplank/internal/kv"
@@ -33,12 +34,6 @@
 	// planPauseFactor is the pause after a plan as a multiple of the time that the plan took, so that a slow host has
 	// time left for renewals.
 	planPauseFactor = 5
-	// warmupCapacityShare is the share of its capacity that a server has during its warm-up.
-	warmupCapacityShare = 0.5
-	// defaultRunTime is the run time assumed for every server until there are measurements.
-	defaultRunTime = 100 * time.Millisecond
-	// minMeasurements is the number of measurements below which a server is assumed to have the average run time.
-	minMeasurements = 5
 )
 
 // assignment is the assigner of one service with the state of its planning and of its table writes.
@@ -204,18 +199,19 @@
 		}
 	}
 	slices.SortFunc(servers, func(a, b directory.RegisteredServer) int { return cmp.Compare(a.ID, b.ID) })
-	runTimes := c.runTimes(servers)
+	runTimes := c.aggregator.RunTimes()
 	slowStart := c.slowStart(service)
-	candidates := make([]ownership.Candidate, len(servers))
+	known := make([]capacity.Server, len(servers))
 	for i, server := range servers {
-		capacity := float64(server.Slots) / runTimes[i].Seconds()
-		if limit, limited := c.allocator.Limit(relay.ServerHash(server.Incarnation())); limited {
-			capacity = min(capacity, limit)
-		}
-		if c.warmsUp(server, slowStart.Period) {
-			capacity = warmupCapacity(capacity, slowStart)
+		hash := relay.ServerHash(server.Incarnation())
+		limit, limited := c.allocator.Limit(hash)
+		known[i] = capacity.Server{
+			Slots: server.Slots, RunTime: runTimes[hash], Limit: limit, Limited: limited, WarmsUp: c.warmsUp(server, slowStart.Period),
 		}
-		candidates[i] = ownership.Candidate{Holder: holderOf(server.Server), Capacity: capacity}
+	}
+	candidates := make([]ownership.Candidate, len(servers))
+	for i, requests := range capacity.Estimate(known, slowStart) {
+		candidates[i] = ownership.Candidate{Holder: holderOf(servers[i].Server), Capacity: requests}
 	}
 	return candidates
 }
@@ -235,41 +231,6 @@
 	return now < server.WarmupUntil || returnedAt > 0 && now < returnedAt+slowStart
 }
 
-// warmupCapacity returns what remains of a server's capacity, in requests a second, during its warm-up.
-func warmupCapacity(capacity float64, slowStart routing.SlowStart) float64 {
-	capacity *= warmupCapacityShare
-	if slowStart.Rate > 0 {
-		capacity = min(capacity, slowStart.Rate)
-	}
-	return capacity
-}
-
-// runTimes returns the mean run time of requests at each backend server. A server with too few measurements is assumed
-// to have the average run time of the others.
-func (c *Controller) runTimes(servers []directory.RegisteredServer) []time.Duration {
-	measured := c.aggregator.RunTimes()
-	times := make([]time.Duration, len(servers))
-	total, count := time.Duration(0), 0
-	for i, server := range servers {
-		runTime := measured[relay.ServerHash(server.Incarnation())]
-		if runTime.Measurements >= minMeasurements && runTime.Mean > 0 {
-			times[i] = runTime.Mean
-			total += runTime.Mean
-			count++
-		}
-	}
-	average := defaultRunTime
-	if count > 0 {
-		average = total / time.Duration(count)
-	}
-	for i := range times {
-		if times[i] == 0 {
-			times[i] = average
-		}
-	}
-	return times
-}
-
 // recordTable writes the ownership table to the store if it has changed.
 func (c *Controller) recordTable(ctx context.Context, service string, a *assignment, now time.Duration) {
 	if a.awaitsConfirmation() && now < a.confirmBy {
--- a/internal/controller/broadcast.go
+++ b/internal/controller/broadcast.go
@@ -1,8 +1,6 @@
 package controller
 
 import (
-	"maps"
-	"slices"
 	"strings"
 	"time"
 
@@ -36,11 +34,9 @@
 	nextHeartbeat time.Duration
 	nextLoads     time.Duration
 	nextRunTimes  time.Duration
-	// index numbers the backend servers in what is sent to the other gateways, as of indexedServersVersion.
-	index                 *relay.Index
+	// loads prepares the messages with request counts by backend server, which it numbers as of indexedServersVersion.
+	loads                 relay.LoadSender
 	indexedServersVersion int
-	// loads are the request counts by backend server that were last sent to the other gateways.
-	loads map[uint32]int
 	// averageRunTime is the average run time of requests, or 0 until there are measurements.
 	averageRunTime time.Duration
 	// lastStoreContact is the time of the last successful store call or applied update.
@@ -75,13 +71,13 @@
 		return
 	}
 	c.broadcasts.nextHeartbeat = now + heartbeatInterval
-	if c.gateways.observe(c.aggregator.Gateways(), now) {
+	if c.gateways.Observe(c.aggregator.Gateways(), now) {
 		c.dirty = true
 	}
 	heartbeat := &wire.RelayDown{
 		Fresh:    now-c.broadcasts.lastStoreContact < storeContactTimeout,
 		AsOf:     c.asOf.Number,
-		Gateways: uint32(c.gateways.value(now)),
+		Gateways: uint32(c.gateways.Value(now)),
 		ReportMs: uint32(c.currentReportInterval().Milliseconds()),
 		LagMs:    c.lagMs(),
 	}
@@ -90,9 +86,7 @@
 		runTimes := c.aggregator.RunTimes()
 		c.broadcasts.averageRunTime = relay.AverageRunTime(runTimes)
 		c.DataPlane.SetRunTimes(runTimes)
-		if c.broadcasts.index != nil {
-			heartbeat.RunTimes = relay.EncodeRunTimeVector(c.broadcasts.index, runTimes)
-		}
+		heartbeat.RunTimes = c.broadcasts.loads.RunTimes(runTimes)
 	}
 	c.broadcast(heartbeat)
 }
@@ -110,42 +104,20 @@
 	c.broadcasts.nextLoads = now + c.currentReportInterval()
 	loads := c.aggregator.Loads()
 	c.DataPlane.SetLoads(loads)
-	message := &wire.RelayDown{}
-	if c.updateIndex(loads) {
-		message.Index = relay.EncodeIndex(c.broadcasts.index)
-	} else if maps.Equal(c.broadcasts.loads, loads) {
-		return
+	serversChanged := c.broadcasts.indexedServersVersion != c.serversVersion
+	c.broadcasts.indexedServersVersion = c.serversVersion
+	if message := c.broadcasts.loads.Next(loads, serversChanged, c.serverHashes); message != nil {
+		c.broadcast(message)
 	}
-	c.broadcasts.loads = loads
-	message.Loads = relay.EncodeLoadVector(c.broadcasts.index, loads)
-	c.broadcast(message)
 }
 
-// updateIndex makes an index of the backend servers if it lacks any, and reports whether it did.
-func (c *Controller) updateIndex(loads map[uint32]int) bool {
-	b := &c.broadcasts
-	version := uint32(1)
-	if b.index != nil {
-		complete := b.indexedServersVersion == c.serversVersion
-		for server := range loads {
-			complete = complete && b.index.Contains(server)
-		}
-		if complete {
-			return false
-		}
-		version = b.index.Version() + 1
-	}
-	servers := slices.Collect(maps.Keys(loads))
+// serverHashes returns the hashes of the known backend servers.
+func (c *Controller) serverHashes() []uint32 {
+	var hashes []uint32
 	for _, server := range c.directory.Servers() {
-		servers = append(servers, relay.ServerHash(server.Incarnation()))
-	}
-	next := relay.NewIndex(version, servers)
-	b.indexedServersVersion = c.serversVersion
-	if b.index != nil && slices.Equal(next.Servers(), b.index.Servers()) {
-		return false
+		hashes = append(hashes, relay.ServerHash(server.Incarnation()))
 	}
-	b.index = next
-	return true
+	return hashes
 }
 
 // ownSession is the session ID of the reports of this gateway itself.
@@ -157,7 +129,7 @@
 		HasLoad: true, Load: relay.EncodeLoads(c.DataPlane.Loads()),
 		AllRunTimes: true, RunTimes: relay.EncodeRunTimes(c.DataPlane.RunTimes()),
 	}
-	report.Keys, report.Refused = c.reports.drain()
+	report.Keys, report.Refused = c.reports.Drain()
 	c.markLeaving(c.Host, c.DataPlane.LeavingServers())
 	c.aggregator.Report(c.Host, ownSession, report)
 	c.applyReport(report)
@@ -200,15 +172,13 @@
 	})
 }
 
-// sendLoads sends the index of the backend servers and the request counts. Later messages refer to the index.
+// sendLoads sends the request counts by backend server. Later messages refer to the same index.
 func (c *Controller) sendLoads(session *relay.Session) {
-	index := c.broadcasts.index
-	if index == nil {
+	full := c.broadcasts.loads.Full()
+	if full == nil {
 		return
 	}
-	message, err := c.encode(&wire.RelayDown{
-		Index: relay.EncodeIndex(index), Loads: relay.EncodeLoadVector(index, c.broadcasts.loads),
-	})
+	message, err := c.encode(full)
 	if err != nil {
 		c.Log.WithError(err).Error("failed to encode request counts; the connected gateway uses the load reported by the servers")
 		return
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -84,7 +84,7 @@
 	ready atomic.Bool
 	// reportInterval is the report interval that the elected gateway asked for, in nanoseconds.
 	reportInterval atomic.Int64
-	reports        *reportBuffer
+	reports        *relay.ReportBuffer
 	aggregator     *relay.Aggregator
 	server         *relay.Server
 
@@ -106,7 +106,7 @@
 	completeAt time.Duration
 	source     source
 	broadcasts broadcastState
-	gateways   gatewayCount
+	gateways   relay.GatewayCount
 	// serversVersion counts the changes of the set of backend servers, starting at 1. servers is the list of them by
 	// service, computed at serversCacheVersion.
 	serversVersion      int
@@ -138,7 +138,7 @@
 	c := &Controller{
 		Options:    options,
 		tasks:      make(chan func(), taskQueueSize),
-		reports:    newReportBuffer(),
+		reports:    relay.NewReportBuffer(),
 		aggregator: relay.NewAggregator(options.Clock),
 		directory:  directory.New(),
 		zones:      zones.New(),
@@ -165,11 +165,11 @@
 func (c *Controller) enqueue(f func()) { c.tasks <- f }
 
 // CountRequest counts a request for a key.
-func (c *Controller) CountRequest(service string, key int) { c.reports.addRequest(service, key) }
+func (c *Controller) CountRequest(service string, key int) { c.reports.AddRequest(service, key) }
 
 // RecordRefusal records that the owner of a key according to the ownership table refused a request for it.
 func (c *Controller) RecordRefusal(service string, key int, owner string) {
-	c.reports.addRefusal(service, key, owner)
+	c.reports.AddRefusal(service, key, owner)
 }
 
 // Run is the control goroutine. It returns when the context is done. Other gateways connect to the listener.
@@ -245,7 +245,7 @@
 		Elected:         c.election.Acting(),
 		StoreEra:        uint64(c.election.Era()),
 		Servers:         len(c.directory.Servers()),
-		Gateways:        c.gateways.value(now),
+		Gateways:        c.gateways.Value(now),
 		DrainedZones:    len(c.zones.Drained()),
 		StoreContactAge: now - max(c.broadcasts.lastStoreContact, c.source.lastFresh),
 	}
--- a/internal/controller/publish.go
+++ b/internal/controller/publish.go
@@ -27,7 +27,7 @@
 	view := &snapshot.Snapshot{
 		Routes:   c.routes,
 		Services: make(map[string]*snapshot.Service),
-		Gateways: c.gateways.value(c.Clock()),
+		Gateways: c.gateways.Value(c.Clock()),
 
 		Zones:        c.zones.States(),
 		ZonesVersion: c.zones.Version(),
--- a/internal/controller/quotas.go
+++ b/internal/controller/quotas.go
@@ -27,7 +27,7 @@
 	}
 	hosts := append(c.server.Hosts(), c.Host)
 	slices.Sort(hosts)
-	grants := c.allocator.Allocate(slices.Compact(hosts), c.gateways.value(now), now)
+	grants := c.allocator.Allocate(slices.Compact(hosts), c.gateways.Value(now), now)
 	c.DataPlane.SetQuotas(grants[c.Host])
 	delete(grants, c.Host)
 	for host, part := range grants {
--- a/internal/controller/restore.go
+++ b/internal/controller/restore.go
@@ -59,7 +59,7 @@
 
 // areMostGateways reports whether a number of other gateways and this one are more than half of all.
 func (c *Controller) areMostGateways(others int) bool {
-	return 2*(others+1) > c.gateways.value(c.Clock())
+	return 2*(others+1) > c.gateways.Value(c.Clock())
 }
 
 // restartMirror makes chooseSource start another mirror of the store, whose first watch finds that the history is gone.
--- a/internal/controller/source.go
+++ b/internal/controller/source.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/kv"
 	"github.com/sapphireplank/sapphireplank/internal/mirror"
@@ -46,10 +48,8 @@
 	lastFresh time.Duration
 	// connectionID is the number of the current connection. Messages of earlier connections are ignored.
 	connectionID int
-	// index numbers the backend servers in messages of the elected gateway, and loads are the request counts by backend
-	// server, summed over all gateways. Both are nil until the elected gateway has sent them.
-	index *relay.Index
-	loads map[uint32]int
+	// loads holds the request counts by backend server, summed over all gateways, as the elected gateway sent them.
+	loads relay.LoadReceiver
 }
 
 // chooseSource maintains the connection to the elected gateway, and follows the store itself while that connection is
@@ -102,7 +102,7 @@
 		return
 	}
 	s.connectionID++
-	s.index, s.loads = nil, nil
+	s.loads = relay.LoadReceiver{}
 	connectionID := s.connectionID
 	ctx, s.stopRelay = context.WithCancel(ctx)
 	client := &relay.Client{
@@ -151,13 +151,12 @@
 		// A heartbeat from a gateway that has lost contact with the store.
 		c.source.lastFresh = now - relayTimeout
 	}
-	if message.Gateways > 0 && c.gateways.observe(int(message.Gateways), now) {
+	if message.Gateways > 0 && c.gateways.Observe(int(message.Gateways), now) {
 		c.dirty = true
 	}
 	if message.ReportMs > 0 {
 		c.reportInterval.Store(int64(time.Duration(message.ReportMs) * time.Millisecond))
 	}
-	c.applyRunTimes(message)
 	era := kv.Era(message.Era)
 	update := mirror.Update{Full: message.Full, AsOf: kv.Revision{Era: era, Number: message.AsOf}}
 	for _, item := range message.Items {
@@ -207,37 +206,19 @@
 	}
 }
 
-// applyLoads applies the request counts by backend server, summed over all gateways. A heartbeat without counts
-// confirms the current ones.
+// applyLoads applies the request counts by backend server and the run times, summed and averaged over all gateways.
 func (c *Controller) applyLoads(message *wire.RelayDown) {
-	if message.Index != nil {
-		c.source.index = relay.DecodeIndex(message.Index)
-	}
-	switch {
-	case message.Loads != nil:
-		loads, err := relay.DecodeLoadVector(c.source.index, message.Loads)
-		if err != nil {
-			c.Log.WithError(err).Debug("request counts of the elected gateway left out")
-			return
-		}
-		c.source.loads = loads
-	case c.source.loads == nil || !message.Fresh:
-		return
+	loads, err := c.source.loads.Receive(message)
+	if loads != nil {
+		c.DataPlane.SetLoads(loads)
 	}
-	c.DataPlane.SetLoads(c.source.loads)
-}
-
-// applyRunTimes applies the run times of requests, as measured by all gateways.
-func (c *Controller) applyRunTimes(message *wire.RelayDown) {
-	if message.RunTimes == nil {
-		return
+	runTimes, runTimesErr := c.source.loads.RunTimes(message)
+	if runTimes != nil {
+		c.DataPlane.SetRunTimes(runTimes)
 	}
-	runTimes, err := relay.DecodeRunTimeVector(c.source.index, message.RunTimes)
-	if err != nil {
-		c.Log.WithError(err).Debug("run times of the elected gateway left out")
-		return
+	if err = errors.CombineErrors(err, runTimesErr); err != nil {
+		c.Log.WithError(err).Debug("request counts or run times of the elected gateway left out")
 	}
-	c.DataPlane.SetRunTimes(runTimes)
 }
 
 // applyTableDelta applies a change to an ownership table. If earlier changes were missed, it closes the connection, so
@@ -282,7 +263,7 @@
 		}
 		next = now + time.Duration(c.reportInterval.Load()) - relay.ReportPollInterval/2
 		report := &wire.RelayUp{}
-		report.Keys, report.Refused = c.reports.drain()
+		report.Keys, report.Refused = c.reports.Drain()
 		report.Quotas = relay.EncodeQuotaReports(c.DataPlane.QuotaReports(), now)
 		if loads := c.DataPlane.Loads(); last == nil || !maps.Equal(loads, last) {
 			last = loads
--- a/internal/controller/zonedrains.go
+++ b/internal/controller/zonedrains.go
@@ -56,7 +56,7 @@
 	c.dirty = true
 	c.serversVersion++
 	log := c.Log.WithField("zone", name).WithField("since", c.zones.Get(name).Since).WithField("known_at", c.Clock())
-	if !c.hasServersIn(name) {
+	if !c.directory.HasServersIn(name) {
 		log.Warning("operator drains an availability zone without backend servers; check the name of the zone")
 		return
 	}
@@ -68,13 +68,3 @@
 	c.serversVersion++
 	c.Log.WithField("zone", name).Info("drain of an availability zone taken back")
 }
-
-// hasServersIn reports whether any backend server is registered in a zone.
-func (c *Controller) hasServersIn(zone string) bool {
-	for _, server := range c.directory.Servers() {
-		if server.Zone == zone {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -181,3 +181,13 @@
 	}
 	return servers
 }
+
+// HasServersIn reports whether any server is registered in an availability zone.
+func (d *Directory) HasServersIn(zone string) bool {
+	for _, e := range d.entries {
+		if e.server.Zone == zone {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/relay/gatewaycount.go
+++ b/internal/relay/gatewaycount.go
@@ -1,4 +1,4 @@
-package controller
+package relay
 
 import "time"
 
@@ -12,14 +12,14 @@
 	countRetention = 10 * time.Second
 )
 
-// gatewayCount is the number of gateways among which limits are divided.
-type gatewayCount struct {
+// GatewayCount is the number of gateways among which limits are divided.
+type GatewayCount struct {
 	count      int
 	observedAt time.Duration
 }
 
-// observe updates the count, and reports whether it changed. A lower count is ignored during countRetention.
-func (g *gatewayCount) observe(count int, now time.Duration) bool {
+// Observe updates the count, and reports whether it changed. A lower count is ignored during countRetention.
+func (g *GatewayCount) Observe(count int, now time.Duration) bool {
 	if count >= g.count || now-g.observedAt > countRetention {
 		changed := g.count != count
 		g.count, g.observedAt = count, now
@@ -28,8 +28,8 @@
 	return false
 }
 
-// value returns the number of gateways by which limits are to be divided.
-func (g *gatewayCount) value(now time.Duration) int {
+// Value returns the number of gateways by which limits are to be divided.
+func (g *GatewayCount) Value(now time.Duration) int {
 	if now < assumptionPeriod || g.count == 0 {
 		return max(assumedGateways, g.count)
 	}
--- a/internal/relay/index.go
+++ b/internal/relay/index.go
@@ -44,8 +44,15 @@
 	return ok
 }
 
-// Servers returns the servers in order. The caller must not change them.
-func (i *Index) Servers() []uint32 { return i.servers }
+// containsAll reports whether the index has all servers with requests.
+func (i *Index) containsAll(loads map[uint32]int) bool {
+	for server := range loads {
+		if !i.Contains(server) {
+			return false
+		}
+	}
+	return true
+}
 
 // EncodeIndex encodes an index.
 func EncodeIndex(index *Index) *wire.ServerIndex {
--- a/internal/relay/reportbuffer.go
+++ b/internal/relay/reportbuffer.go
@@ -1,4 +1,4 @@
-package controller
+package relay
 
 import (
 	"maps"
@@ -8,8 +8,8 @@
 	"github.com/sapphireplank/sapphireplank/internal/wire"
 )
 
-// reportBuffer collects request counts and refusals until the next report. It is safe for concurrent use.
-type reportBuffer struct {
+// ReportBuffer collects request counts and refusals until the next report. It is safe for concurrent use.
+type ReportBuffer struct {
 	// mu protects the fields below.
 	mu       sync.Mutex
 	counts   map[string]map[int]int
@@ -19,9 +19,11 @@
 // maxRefusals bounds the refusals in one report. The rest can be dropped, because a refusal only speeds up a grant.
 const maxRefusals = 32
 
-func newReportBuffer() *reportBuffer { return &reportBuffer{counts: make(map[string]map[int]int)} }
+// NewReportBuffer returns an empty buffer.
+func NewReportBuffer() *ReportBuffer { return &ReportBuffer{counts: make(map[string]map[int]int)} }
 
-func (r *reportBuffer) addRequest(service string, key int) {
+// AddRequest counts a request for a key.
+func (r *ReportBuffer) AddRequest(service string, key int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	keys := r.counts[service]
@@ -32,7 +34,8 @@
 	keys[key]++
 }
 
-func (r *reportBuffer) addRefusal(service string, key int, owner string) {
+// AddRefusal records that the owner of a key refused a request for it.
+func (r *ReportBuffer) AddRefusal(service string, key int, owner string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.refusals) < maxRefusals {
@@ -40,8 +43,8 @@
 	}
 }
 
-// drain returns what was collected and empties the buffer.
-func (r *reportBuffer) drain() ([]*wire.KeyCounts, []*wire.RefusedKey) {
+// Drain returns what was collected and empties the buffer.
+func (r *ReportBuffer) Drain() ([]*wire.KeyCounts, []*wire.RefusedKey) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var counts []*wire.KeyCounts
