ownership: compute the rates of keys once a plan

Cause: each rate of a key computed the observed part of its window anew, several exponentials for each of 65,536 keys in each plan.

Change: the rates are computed in one pass when the averages advance; counts that are as good as none become none.

--- a/internal/ownership/keyrates.go
+++ b/internal/ownership/keyrates.go
@@ -25,13 +25,8 @@
 // and for its block.
 type KeyRates struct {
 	steady, recent *RateMeter
-	blocks         []rateBlock
-}
-
-// rateBlock is how the rates of the keys of a block differ from the steady ones: each is multiplied by factor, and gets its part
-// of risen by its recent rate.
-type rateBlock struct {
-	factor, risen, recent float64
+	// rates are the rates of the keys as of the last call of Advance.
+	rates []float64
 }
 
 var _ Load = (*KeyRates)(nil)
@@ -39,52 +34,66 @@
 // NewKeyRates returns a meter for the given number of keys.
 func NewKeyRates(keys int) *KeyRates {
 	return &KeyRates{
-		steady: NewRateMeter(keys, steadyHalfLife), recent: NewRateMeter(keys, recentHalfLife),
-		blocks: make([]rateBlock, (keys+blockKeys-1)/blockKeys),
+		steady: NewRateMeter(keys, steadyHalfLife), recent: NewRateMeter(keys, recentHalfLife), rates: make([]float64, keys),
 	}
 }
 
-// Advance decays the averages up to the current time.
+// Add counts requests for a key. It ignores keys out of range.
+func (r *KeyRates) Add(key, count int) {
+	r.steady.Add(key, count)
+	r.recent.Add(key, count)
+}
+
+// Rate implements Load. Requests that were added after the last call of Advance count from the next one on.
+func (r *KeyRates) Rate(key int) float64 { return r.rates[key] }
+
+// Advance decays the averages up to the current time and computes the rates. It takes time in proportion to the number of keys.
 func (r *KeyRates) Advance(now time.Duration) {
 	r.steady.Advance(now)
 	r.recent.Advance(now)
-	for i := range r.blocks {
-		r.blocks[i] = r.block(i)
+	scale := rateScale{
+		steady: 1 / r.steady.observedSeconds(), recent: 1 / r.recent.observedSeconds(), seconds: r.recent.samplePeriod(),
+	}
+	for first := 0; first < len(r.rates); first += blockKeys {
+		end := min(first+blockKeys, len(r.rates))
+		scale.blockRates(r.rates[first:end], r.steady.counts[first:end], r.recent.counts[first:end])
 	}
 }
 
-// block compares the recent with the steady rate of a block.
-func (r *KeyRates) block(i int) rateBlock {
-	steady, recent := 0.0, 0.0
-	for key := i * blockKeys; key < min((i+1)*blockKeys, len(r.steady.counts)); key++ {
-		steady += r.steady.Rate(key)
-		recent += r.recent.Rate(key)
-	}
-	low, high := rateInterval(recent, r.recent.samplePeriod())
+// rateScale holds the factors from counts to rates, and the time over which the recent requests were counted.
+type rateScale struct{ steady, recent, seconds float64 }
+
+// blockRates computes the rates of the keys of a block from their counts.
+func (s rateScale) blockRates(rates, steadyCounts, recentCounts []float64) {
+	steady, recent := s.steady*sum(steadyCounts), s.recent*sum(recentCounts)
+	low, high := rateInterval(recent, s.seconds)
+	factor, risen := 1.0, 0.0
 	switch {
 	case steady > high:
-		return rateBlock{factor: high / steady}
+		factor = high / steady
 	case steady < low:
-		return rateBlock{factor: 1, risen: low - steady, recent: recent}
+		// The rise is divided by the recent rates.
+		risen = (low - steady) / recent
+	}
+	_, highestOfIdle := rateInterval(0, s.seconds)
+	for i := range rates {
+		keyRecent := s.recent * recentCounts[i]
+		rates[i] = factor*s.steady*steadyCounts[i] + risen*keyRecent
+		if keyRecent == 0 {
+			rates[i] = min(rates[i], highestOfIdle)
+			continue
+		}
+		keyLow, keyHigh := rateInterval(keyRecent, s.seconds)
+		rates[i] = min(max(rates[i], keyLow), keyHigh)
 	}
-	return rateBlock{factor: 1}
-}
-
-// Add counts requests for a key. It ignores keys out of range.
-func (r *KeyRates) Add(key, count int) {
-	r.steady.Add(key, count)
-	r.recent.Add(key, count)
 }
 
-// Rate implements Load. Requests that were added after the last call of Advance count from the next one on.
-func (r *KeyRates) Rate(key int) float64 {
-	block, recent := r.blocks[key/blockKeys], r.recent.Rate(key)
-	rate := r.steady.Rate(key) * block.factor
-	if block.risen > 0 {
-		rate += block.risen * recent / block.recent
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, value := range values {
+		total += value
 	}
-	low, high := rateInterval(recent, r.recent.samplePeriod())
-	return min(max(rate, low), high)
+	return total
 }
 
 // rateInterval returns the bounds of the rates that are likely, given the rate that was measured over a time in seconds.
--- a/internal/ownership/ratemeter.go
+++ b/internal/ownership/ratemeter.go
@@ -16,6 +16,10 @@
 	started   bool
 }
 
+// negligibleCount is a count that is as good as none. Counts that decay without end would become denormal numbers, which are
+// slow to compute with.
+const negligibleCount = 1e-9
+
 // NewRateMeter returns a meter for the given number of keys.
 func NewRateMeter(keys int, halfLife time.Duration) *RateMeter {
 	return &RateMeter{halfLife: halfLife, counts: make([]float64, keys)}
@@ -31,7 +35,9 @@
 	}
 	factor := math.Exp2(-float64(now-m.updatedAt) / float64(m.halfLife))
 	for i := range m.counts {
-		m.counts[i] *= factor
+		if m.counts[i] *= factor; m.counts[i] < negligibleCount {
+			m.counts[i] = 0
+		}
 	}
 	m.updatedAt = now
 }
@@ -45,9 +51,7 @@
 
 // Rate implements Load. Shortly after the start it extrapolates from the part of the averaging window that has been
 // observed.
-func (m *RateMeter) Rate(key int) float64 {
-	return m.counts[key] / m.observedSeconds()
-}
+func (m *RateMeter) Rate(key int) float64 { return m.counts[key] / m.observedSeconds() }
 
 // observedSeconds returns the weight of the averaging window that has been observed.
 func (m *RateMeter) observedSeconds() float64 {
