hedge, entry: send a second copy of requests that take long

Cause: operators accept some extra work on the servers if it cuts the slowest responses of requests that may be repeated, within a limit that they set.

Change: [hedging] percent and services, off by default. Package hedge decides when, by the recent latencies of the service; the dispatcher gives a second copy only a server with a free slot. The first usable response counts.

--- a/internal/bytebudget/budget.go
+++ b/internal/bytebudget/budget.go
@@ -41,5 +41,11 @@
 	return nil
 }
 
+// Sibling returns another account of the same budget, without reserved bytes.
+func (a *Account) Sibling() *Account { return a.budget.Account() }
+
+// Merge takes over the bytes that another account of the same budget has reserved.
+func (a *Account) Merge(other *Account) { a.reserved.Add(other.reserved.Swap(0)) }
+
 // Release returns all reserved bytes to the budget.
 func (a *Account) Release() { a.budget.reserved.Add(-a.reserved.Swap(0)) }
--- a/internal/dispatch/no_room_cache.go
+++ b/internal/dispatch/no_room_cache.go
@@ -12,7 +12,7 @@
 
 // choose places a request like service.choose, but skips the search if it is known to find no room.
 func (n noRoomCache) choose(s *service, request *AcquireRequest, now time.Duration) choice {
-	if s.sharded && request.HasKey || len(request.Tried) > 0 {
+	if s.ownedKey(request) || len(request.Tried) > 0 {
 		return s.choose(request, now, 0)
 	}
 	limits := s.placingLimits(request, now)
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -80,7 +80,7 @@
 // choose selects a server for a request or estimates how long it has to wait. ahead is the number of queued
 // requests that are served first.
 func (s *service) choose(request *AcquireRequest, now time.Duration, ahead int) choice {
-	if s.sharded && request.HasKey {
+	if s.ownedKey(request) {
 		return s.chooseOwner(request, now, ahead)
 	}
 	return s.chooseAny(request, now, ahead)
--- a/internal/entry/decisionlog.go
+++ b/internal/entry/decisionlog.go
@@ -34,6 +34,7 @@
 	decisionPlaced  = "request placed"
 	decisionSent    = "send ended"
 	decisionRetry   = "request is sent again"
+	decisionHedged  = "second copy of the request is sent"
 	decisionRefused = "request refused"
 )
 
@@ -106,7 +107,7 @@
 		if f.acquireRequest.HasKey {
 			fields["key"] = f.acquireRequest.Key
 		}
-	case decisionPlaced:
+	case decisionPlaced, decisionHedged:
 		fields["server"], fields["expected"], fields["token"] = d.reservation.Server.ID, d.reservation.Expected, d.reservation.Token
 		fields["own"], fields["others"], fields["age"] =
 			d.reservation.OwnRequests, d.reservation.PeerRequests, d.reservation.PeerRequestsAge
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -14,6 +14,7 @@
 	"github.com/sapphireplank/sapphireplank/internal/directory"
 	"github.com/sapphireplank/sapphireplank/internal/dispatch"
 	"github.com/sapphireplank/sapphireplank/internal/exchange"
+	"github.com/sapphireplank/sapphireplank/internal/hedge"
 	"github.com/sapphireplank/sapphireplank/internal/logging"
 	"github.com/sapphireplank/sapphireplank/internal/netdial"
 	"github.com/sapphireplank/sapphireplank/internal/observe"
@@ -89,6 +90,7 @@
 	server *Server
 	// budgets are the retry budgets.
 	budgets *RetryBudgets
+	hedges  *Hedges
 	view    atomic.Pointer[snapshot.Snapshot]
 	// dispatcher places the requests.
 	dispatcher *dispatch.Dispatcher
@@ -151,6 +153,7 @@
 		Limits: routing.Limits{MaxHeaderBytes: 4 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 2 * time.Second, IdleTimeout: 10 * time.Second},
 	}
 	f := &fixture{budgets: NewRetryBudgets(retry.WindowLimits{Window: budgetWindow, Ratio: 0, Slack: budgetSlack}, clock)}
+	f.hedges = NewHedges(hedge.Settings{})
 	f.view.Store(&snapshot.Snapshot{
 		Routes: routing.NewTable(config), Services: map[string]*snapshot.Service{"s": service}, Gateways: 1,
 	})
@@ -162,6 +165,7 @@
 		Dispatcher:   dispatcher,
 		Headers:      testHeaders{},
 		RetryBudgets: f.budgets,
+		Hedges:       f.hedges,
 		ConnTimeouts: timeouts,
 
 		BodyMemoryBytes: bodyMemoryBytes,
--- a/internal/entry/forwarder.go
+++ b/internal/entry/forwarder.go
@@ -93,7 +93,11 @@
 		if f.sends == 0 && f.unsent == 0 {
 			h.RetryBudgets.CountRequest(f.acquireRequest.Service)
 		}
-		f.send(ctx, reservation)
+		if f.mayHedge() {
+			f.sendHedged(ctx, reservation)
+		} else {
+			f.send(ctx, reservation)
+		}
 		if ctx.Err() != nil {
 			return &response{status: statusClientGone}
 		}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -37,6 +37,7 @@
 	Dispatcher   *dispatch.Dispatcher
 	Headers      exchange.Headers
 	RetryBudgets *RetryBudgets
+	Hedges       *Hedges
 	// BodyMemoryBytes bounds the bodies of all requests and responses in flight.
 	BodyMemoryBytes int64
 	// HeldBodyBytes is the length up to which the body of a request is held, so that the request can be sent again. The
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -91,6 +91,7 @@
 		Dispatcher:       n.dispatcher,
 		Headers:          adapter.Headers,
 		RetryBudgets:     n.budgets,
+		Hedges:           entry.NewHedges(settings.Hedging),
 		BodyMemoryBytes:  bodyMemoryBytes(settings),
 		HeldBodyBytes:    int64(settings.BodyBufferKB) * kibibyte,
 		ConnTimeouts:     clientTimeouts,
--- a/internal/entrynode/reload.go
+++ b/internal/entrynode/reload.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 	"time"
 
@@ -42,7 +43,7 @@
 		return
 	}
 	current := n.settings.Load()
-	if *settings == *current {
+	if reflect.DeepEqual(settings, current) {
 		return
 	}
 	n.settings.Store(settings)
--- a/internal/entrynode/setters.go
+++ b/internal/entrynode/setters.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/sapphireplank/sapphireplank/internal/hedge"
 	"github.com/sapphireplank/sapphireplank/internal/logging"
 )
 
@@ -71,6 +72,39 @@
 	}
 }
 
+// floatUpTo parses a number from 0 to a maximum.
+func floatUpTo(most float64, target func(*Settings) *float64) setter {
+	return func(s *Settings, value string) error {
+		err := floatSetter(target)(s, value)
+		if err == nil && *target(s) > most {
+			return ErrInvalidSetting
+		}
+		return err
+	}
+}
+
+// noServices is the value of a list of services that has none.
+const noServices = "none"
+
+// setHedgedServices parses a list of NAME=PERCENT.
+func setHedgedServices(s *Settings, value string) error {
+	if value == noServices {
+		return nil
+	}
+	services := make(map[string]float64)
+	for _, text := range strings.Split(value, ",") {
+		name, percent, found := strings.Cut(text, "=")
+		name = strings.TrimSpace(name)
+		parsed, err := parseNumber(strings.TrimSpace(percent))
+		if _, repeated := services[name]; !found || name == "" || repeated || err != nil || parsed > hedge.MaxPercent {
+			return ErrInvalidSetting
+		}
+		services[name] = parsed
+	}
+	s.Hedging.Services = services
+	return nil
+}
+
 // factorSetter parses a finite number of at least 1.
 func factorSetter(target func(*Settings) *float64) setter {
 	return func(s *Settings, value string) error {
--- a/internal/entrynode/settings.go
+++ b/internal/entrynode/settings.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"gopkg.in/ini.v1"
+
+	"github.com/sapphireplank/sapphireplank/internal/hedge"
 )
 
 // Settings is the start-up configuration of a gateway process. All other configuration comes from the store.
@@ -45,6 +47,8 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
+	// Hedging states how many requests that may be repeated are sent a second time because they take long.
+	Hedging hedge.Settings
 	// LongestGrant is the maximum duration of a key grant.
 	LongestGrant time.Duration
 	// StopGrace is the grace period from SIGTERM to the exit of the process.
@@ -78,6 +82,7 @@
 	hintNonNegative = "use a number of 0 or more"
 	hintFactor      = "use a number of 1 or more"
 	hintPositive    = "use a number above 0"
+	hintPercent     = "use a percentage of requests from 0 to 20"
 	hintPort        = "use a port from 0 to 65535"
 )
 
@@ -102,6 +107,8 @@
 	{"retries", "ratio", "0.1", hintNonNegative, floatSetter(func(s *Settings) *float64 { return &s.RetryRatio })},
 	{"retries", "window_s", "10", hintPositive, positiveDurationSetter(time.Second, func(s *Settings) *time.Duration { return &s.RetryWindow })},
 	{"retries", "slack", "20", hintNonNegative, floatSetter(func(s *Settings) *float64 { return &s.RetrySlack })},
+	{"hedging", "percent", "0", hintPercent, floatUpTo(hedge.MaxPercent, func(s *Settings) *float64 { return &s.Hedging.Percent })},
+	{"hedging", "services", "none", "use none, or NAME=PERCENT separated by commas, each from 0 to 20", setHedgedServices},
 	{"ownership", "longest_grant_ms", "10000", hintPositive, positiveDurationSetter(time.Millisecond, func(s *Settings) *time.Duration { return &s.LongestGrant })},
 	{"stop", "grace_s", "6", hintNonNegative, durationSetter(time.Second, func(s *Settings) *time.Duration { return &s.StopGrace })},
 	{"metrics", "port", "0", hintPort, intSetter(0, maxPort, func(s *Settings) *int { return &s.MetricsPort })},
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -40,6 +40,7 @@
 	limited         prometheus.Gauge
 	heldOff         prometheus.Gauge
 	slowStart       prometheus.Gauge
+	hedges          *prometheus.CounterVec
 	limitedSends    prometheus.Counter
 	notices         *prometheus.CounterVec
 	gateways        prometheus.Gauge
@@ -68,6 +69,7 @@
 		servers:         newGauge("plank_backend_servers", "Backend servers that are known."),
 		suspended:       newGauge("plank_suspended_servers", "Backend servers that get no requests after silent or lost ones."),
 		heldOff:         newGauge("plank_held_off_servers", "Backend servers that want no requests from this gateway for some time."),
+		hedges:          newCounterVec("plank_entry_hedges_total", "Second copies of requests, by whether they were sent and whether theirs was the first response.", labelResult),
 		slowStart:       newGauge("plank_slow_start_servers", "Backend servers that have just started and get a limited rate of requests."),
 		limited:         newGauge("plank_limited_servers", "Backend servers that limit their request rate."),
 		notices:         newCounterVec("plank_entry_notices_total", "Notices of backend servers in their responses, by what they say.", labelKind),
@@ -79,7 +81,7 @@
 		dropped:         newCounter("plank_log_lines_dropped_total", "Log lines that were dropped because the output was slow or the rate was exceeded."),
 	}
 	m.registry.MustRegister(m.requests, m.durations, m.queueWaits, m.refusals, m.sends, m.retries, m.storeCalls, m.orders,
-		m.movedKeys, m.elected, m.storeEra, m.version, m.servers, m.suspended, m.limited, m.heldOff, m.slowStart, m.limitedSends, m.notices, m.gateways, m.ownershipRows, m.drainedZones, m.storeContactAge, m.dropped)
+		m.movedKeys, m.elected, m.storeEra, m.version, m.servers, m.suspended, m.limited, m.heldOff, m.slowStart, m.hedges, m.limitedSends, m.notices, m.gateways, m.ownershipRows, m.drainedZones, m.storeContactAge, m.dropped)
 	return m
 }
 
@@ -175,6 +177,9 @@
 	m.storeContactAge.Set(s.StoreContactAge.Seconds())
 }
 
+// CountHedge counts a second copy of a request, by result.
+func (m *Metrics) CountHedge(result string) { m.hedges.WithLabelValues(result).Inc() }
+
 // SetLimitedServers sets the number of backend servers that limit their request rate.
 func (m *Metrics) SetLimitedServers(count int) { m.limited.Set(float64(count)) }
 
--- a/internal/observe/metrics_test.go
+++ b/internal/observe/metrics_test.go
@@ -20,6 +20,7 @@
 	m.CountNotice("leaving")
 	m.CountAttempt("answer")
 	m.CountRetry(true)
+	m.CountHedge("sent")
 	m.CountOrder("grant", nil)
 	if _, err := NewStore(kv.NewMemoryStore(), m).List(context.Background(), ""); err != nil {
 		t.Fatal(err)
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -36,6 +36,8 @@
 	Target time.Duration
 	// Headroom is the part of a server's slots that the request leaves free for others.
 	Headroom float64
+	// FreeSlot is set if the request must not wait at the server.
+	FreeSlot bool
 }
 
 const (
@@ -55,6 +57,9 @@
 // Capacity returns the maximum number of outstanding requests at which the server still meets the latency
 // objective.
 func (s Server) Capacity(limits Limits) float64 {
+	if limits.FreeSlot {
+		return float64(s.Slots)
+	}
 	spare := float64(limits.Target-s.NetworkCost)/float64(s.RunTime) - runTimeMargin
 	queue := min(max(spare, minQueuePerSlot), maxQueuePerSlot)
 	return float64(s.Slots) * (1 + queue - limits.Headroom)
