ownership: rates of keys without requests are numbers

Cause: for a block without requests, rounding left a lower bound of 1e-17 above its rate of 0, which was divided by its recent rate of 0.

Ruled out: small pieces of orphans (a plan of that load makes few moves).

Change: a rate of 0 has the lower bound 0. The soak drains zones, with the check that no request arrives after the bound.

--- a/internal/ownership/keyrates.go
+++ b/internal/ownership/keyrates.go
@@ -99,6 +99,9 @@
 // rateInterval returns the bounds of the rates that are likely, given the rate that was measured over a time in seconds.
 func rateInterval(measured, seconds float64) (low, high float64) {
 	const z = rateDeviations
+	if measured == 0 {
+		return 0, z * z / seconds
+	}
 	center := measured + z*z/(2*seconds)
 	width := z * math.Sqrt(measured/seconds+z*z/(4*seconds*seconds))
 	return max(0, center-width), center + width
--- a/internal/ownership/keyrates_test.go
+++ b/internal/ownership/keyrates_test.go
@@ -105,6 +105,25 @@
 	}
 }
 
+// Guards against rates that are no numbers: without any requests at a time, in a block that was busy, and at the start. With one
+// such key, a plan splits keys into ranges of one key each.
+func TestRatesAreNumbers(t *testing.T) {
+	const keys, busy = 3 * blockKeys, blockKeys + 5
+	rates := NewKeyRates(keys)
+	for step := range 400 {
+		if step < 40 {
+			rates.Add(busy, 1)
+		}
+		rates.Advance(time.Duration(step) * 97 * time.Millisecond)
+		for key := range keys {
+			rate := rates.Rate(key)
+			if math.IsNaN(rate) || rate < 0 || key != busy && rate > 0 {
+				t.Fatalf("step %d: key %d has the rate %v", step, key, rate)
+			}
+		}
+	}
+}
+
 // Guards against an interval that does not contain the rate.
 func TestRateInterval(t *testing.T) {
 	for _, rate := range []float64{0, 0.5, 10, 200} {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -66,6 +66,7 @@
 		{"store restored", wholeDeployment, func() error { return d.restoreStore(duration/awayShare, age) }},
 		{"server restarted", serverID, func() error { return b.restart(restartDelay) }},
 		{"new configuration", wholeDeployment, d.publishConfig},
+		{"zone drained", wholeDeployment, func() error { return d.drainZone(b.options.Zone, duration) }},
 	}
 	return faults[random.IntN(len(faults))]
 }
