configcheck: check a configuration before it is sent

Cause: operators wish for a check of a configuration before they send it.

Gateways do not use the package when they accept a configuration yet.

--- a/internal/entrynode/program.go
+++ b/internal/entrynode/program.go
@@ -33,7 +33,12 @@
 	Settings string `long:"settings" value-name:"FILE" description:"settings file (default: the one that the platform names)"`
 	Check    string `long:"check" value-name:"FILE" description:"read a settings file, name every fault and exit"`
 	Print    string `long:"print-settings" value-name:"FILE" description:"print the settings in force with their units and where each comes from, and exit"`
-	Version  bool   `long:"version" description:"print the version and exit"`
+
+	CheckConfig string `long:"check-config" value-name:"FILE" description:"check a configuration before it is sent, and exit"`
+	InForce     string `long:"in-force" value-name:"FILE" description:"with --check-config: the configuration to compare with"`
+	JSON        bool   `long:"json" description:"with --check-config: print the findings as JSON"`
+
+	Version bool `long:"version" description:"print the version and exit"`
 }
 
 // Main runs the program and returns its exit code. platformPath is the default settings file, given by the platform.
@@ -49,6 +54,9 @@
 	case options.Print != "":
 		return printSettings(p, options.Print)
 	}
+	if options.CheckConfig != "" {
+		return checkConfig(p, options, newAdapter(&Settings{}).Entries)
+	}
 	return run(p, options.Settings, newAdapter)
 }
 
