dispatch: apply a changed slow start to known servers

Cause, by reading: the period of a service's slow start was passed on only when servers or zones changed.

Change: a configuration with another slow start counts as such a change.

Result: tests of dispatch, quota, relay, entrynode pass.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -69,9 +69,8 @@
 // New returns a dispatcher without backend servers.
 func New(options Options) *Dispatcher {
 	return &Dispatcher{
-		zone:    options.Zone,
-		periods: options.Periods,
-
+		zone:      options.Zone,
+		periods:   options.Periods,
 		slowStart: options.SlowStart,
 		clock:     options.Clock,
 		newPool:   options.NewPool,
@@ -126,6 +125,7 @@
 		s.sharded = current.Sharded
 		s.owners = current.Owners
 		s.gateways = view.Gateways
+		changed = changed || s.slowStart != current.SlowStart
 		s.slowStart = current.SlowStart
 		if !sameSlice(s.serverList, current.Servers) {
 			d.setServers(s, current.Servers)
