--- a/internal/entrynode/settings.go
+++ b/internal/entrynode/settings.go
@@ -140,6 +140,9 @@
 	var values []value
 	for _, f := range fields {
 		text := strings.TrimSpace(file.Section(f.section).Key(f.key).String())
+		if isPlaceholder(text) {
+			text = ""
+		}
 		v := value{field: f, text: text, fromFile: text != ""}
 		if !v.fromFile {
 			v.text = f.defaultValue
@@ -149,6 +152,12 @@
 	return values, nil
 }
 
+// isPlaceholder reports whether a value is a placeholder of the template that nothing was filled in for, because the platform has
+// no such value. It counts as absent.
+func isPlaceholder(text string) bool {
+	return strings.HasPrefix(text, "{{") && strings.HasSuffix(text, "}}")
+}
+
 // ReadSettings reads and validates a settings file. The error lists every missing or invalid setting.
 func ReadSettings(path string) (*Settings, error) {
 	values, err := readValues(path)
