dispatch, hedge: count servers by a condition in one place

Cause: four counts of servers for metrics were alike; hedge.Service.Percent was used nowhere.

Change: countServers serves the four; Percent is gone. No change of behaviour.

--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -109,13 +109,5 @@
 
 // LimitedServers returns the number of backend servers that limit their requests.
 func (d *Dispatcher) LimitedServers() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	count := 0
-	for _, s := range d.servers {
-		if s.limits.named.Limited() {
-			count++
-		}
-	}
-	return count
+	return d.countServers(func(s *server, _ time.Duration) bool { return s.limits.named.Limited() })
 }
--- a/internal/dispatch/load_sharing.go
+++ b/internal/dispatch/load_sharing.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "github.com/sapphireplank/sapphireplank/internal/relay"
+import (
+	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/relay"
+)
 
 // Loads returns the number of this gateway's requests at each backend server, by the hash of the server.
 func (d *Dispatcher) Loads() map[uint32]int {
@@ -52,15 +56,7 @@
 
 // SuspendedServers returns the number of suspended backend servers.
 func (d *Dispatcher) SuspendedServers() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	count := 0
-	for _, s := range d.servers {
-		if s.known.Failures.Suspended(d.clock()) {
-			count++
-		}
-	}
-	return count
+	return d.countServers(func(s *server, now time.Duration) bool { return s.known.Failures.Suspended(now) })
 }
 
 // CloseIdleConnections closes connections to backend servers that have exceeded their idle timeout.
--- a/internal/dispatch/notices.go
+++ b/internal/dispatch/notices.go
@@ -56,15 +56,7 @@
 
 // HeldOffServers returns the number of backend servers that want no requests from this gateway now.
 func (d *Dispatcher) HeldOffServers() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	count, now := 0, d.clock()
-	for _, s := range d.servers {
-		if s.known.HeldOffFor(now) > 0 {
-			count++
-		}
-	}
-	return count
+	return d.countServers(func(s *server, now time.Duration) bool { return s.known.HeldOffFor(now) > 0 })
 }
 
 // keepNotice keeps the notice of a server that is no longer listed. Without a start time, the next server with its ID can't
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -73,3 +73,16 @@
 		FailureRate:  s.known.Failures.FailureRate(now),
 	}
 }
+
+// countServers returns the number of servers that meet a condition now.
+func (d *Dispatcher) countServers(meets func(s *server, now time.Duration) bool) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	count, now := 0, d.clock()
+	for _, s := range d.servers {
+		if meets(s, now) {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/dispatch/slow_start.go
+++ b/internal/dispatch/slow_start.go
@@ -46,13 +46,5 @@
 
 // SlowStartServers returns the number of backend servers that start slowly, and so get a limited rate of requests.
 func (d *Dispatcher) SlowStartServers() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	count := 0
-	for _, s := range d.servers {
-		if s.limits.slowStart.Limited() {
-			count++
-		}
-	}
-	return count
+	return d.countServers(func(s *server, _ time.Duration) bool { return s.limits.slowStart.Limited() })
 }
--- a/internal/hedge/service.go
+++ b/internal/hedge/service.go
@@ -16,9 +16,6 @@
 // NewService returns the state of a service with a number of hedged requests per 100 requests.
 func NewService(percent float64) *Service { return &Service{percent: percent} }
 
-// Percent returns the number of hedged requests per 100 requests.
-func (s *Service) Percent() float64 { return s.percent }
-
 // CountRequest counts the first copy of a request.
 func (s *Service) CountRequest() { s.tokens = min(s.tokens+s.percent/100, maxTokens) }
 
