review: case 8, a 503 of an upstream that ran the request passes as a promise

Cause: the status of an upstream's own failure is returned whatever it promises to the client. Nothing is fixed.

--- a/review/cases-2/main.go
+++ b/review/cases-2/main.go
@@ -14,6 +14,7 @@
 var cases = map[string]func(*environment) ([]string, error){
 	"6": longBody,
 	"7": slowRead,
+	"8": failedRun,
 }
 
 func main() {
