review: case 6 also checks what the rejecting upstream reads on

Cause: the rule has a second sentence, on the bytes that are due after an early answer. Change: the upstreams of review/cases-2 compare what they read on with the body that was sent.

--- a/review/cases-2/longbody.go
+++ b/review/cases-2/longbody.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -47,13 +48,18 @@
 	id       string
 	listener net.Listener
 	shedding *atomic.Bool
-	ran      chan<- ranRequest
+	// bodies are the bodies of the long requests by their ids.
+	bodies *sync.Map
+	ran    chan<- ranRequest
+	// other receives what was read on and does not belong there.
+	other chan<- string
 }
 
 // ranRequest is a request that an upstream has run.
 type ranRequest struct{ server, id, hash string }
 
-func startUploadServer(e *environment, id string, shedding *atomic.Bool, ran chan<- ranRequest) (*uploadServer, error) {
+// start serves the requests on a free port.
+func (s *uploadServer) start() error {
 	// The link has small windows, as between machines, so that a peer that does not read blocks the writer.
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		var failed error
@@ -67,13 +73,12 @@
 		}
 		return err
 	}}
-	listener, err := config.Listen(context.Background(), "tcp4", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
+	var err error
+	s.listener, err = config.Listen(context.Background(), "tcp4", "127.0.0.1:0")
+	if err == nil {
+		go s.accept()
 	}
-	s := &uploadServer{e: e, id: id, listener: listener, shedding: shedding, ran: ran}
-	go s.accept()
-	return s, nil
+	return err
 }
 
 func (s *uploadServer) accept() {
@@ -100,8 +105,7 @@
 			s.e.logf("%s: %s is rejected with 503 and Not-Executed", s.id, id)
 			fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
 			time.Sleep(readOnDelay)
-			if length, err := io.Copy(io.Discard, request.Body); err != nil {
-				s.e.logf("%s: read on %d bytes of %s until %v", s.id, length, id, err)
+			if !s.readOn(request, id) {
 				return
 			}
 			continue
@@ -122,6 +126,18 @@
 	}
 }
 
+// readOn reads the rest of a body after its request was rejected, and compares it with what the client sent. It returns false once
+// the connection has ended.
+func (s *uploadServer) readOn(request *http.Request, id string) bool {
+	var rest bytes.Buffer
+	_, err := rest.ReadFrom(request.Body)
+	if body, known := s.bodies.Load(id); known && !bytes.HasPrefix(body.([]byte), rest.Bytes()) {
+		s.e.logf("%s: read on %d bytes of %s, which are not the beginning of its body", s.id, rest.Len(), id)
+		s.other <- fmt.Sprintf("UNASKED: %s got other bytes where the rest of the body of %s was due", s.id, id)
+	}
+	return err == nil
+}
+
 // longBody sends long requests in chunks while upstreams shed some of them before they have read them.
 func longBody(e *environment) ([]string, error) {
 	st, err := startStore()
@@ -133,11 +149,12 @@
 		return nil, err
 	}
 	var shedding atomic.Bool
-	ran := make(chan ranRequest, 1<<16)
+	var bodies sync.Map
+	ran, other := make(chan ranRequest, 1<<16), make(chan string, 1<<16)
 	for i := range 8 {
 		id := fmt.Sprintf("i-%02d", i)
-		s, err := startUploadServer(e, id, &shedding, ran)
-		if err != nil {
+		s := &uploadServer{e: e, id: id, shedding: &shedding, bodies: &bodies, ran: ran, other: other}
+		if err := s.start(); err != nil {
 			return nil, err
 		}
 		defer s.listener.Close()
@@ -194,6 +211,7 @@
 			sum := sha256.Sum256(body)
 			hash := hex.EncodeToString(sum[:])
 			note(id, hash)
+			bodies.Store(id, body)
 			e.logf("client: sends %s, %d bytes in chunks, sha256 %.16s", id, len(body), hash)
 			answer, err := send(g.front, id, body, uploadRate)
 			e.logf("client: %s is answered %q, %v", id, answer, err)
@@ -216,6 +234,9 @@
 			broken = append(broken, fmt.Sprintf("UNASKED: %s ran %s with another body: sha256 %.16s, sent %.16s", r.server, r.id, r.hash, want))
 		}
 	}
+	for len(other) > 0 {
+		broken = append(broken, <-other)
+	}
 	return broken, nil
 }
 
