serverconn: count no response as complete whose upload met a reset

Callers saw: a server answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection while the upload is still being written.

Cause: the response ends with its connection. One goroutine writes, another one reads, and the kernel reports a reset only to the call that comes first. If that was the write, the read saw an ordinary end.

Why it works: each write makes its system call and records the error under one lock. A reader that has seen an end, because a write took the error, finds that error once it holds the lock. EPIPE does not count: the server had ended its output in an ordinary way, and such answers still arrive (two cases of the test).

--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +41,8 @@
 type conn struct {
 	id       ConnID
 	tcp      *net.TCPConn
+	raw      syscall.RawConn
+	writer   *requestWriter
 	limited  *io.LimitedReader
 	reader   *bufio.Reader
 	headers  exchange.Headers
@@ -56,17 +59,23 @@
 	draining bool
 }
 
-func newConn(tcp *net.TCPConn, headers exchange.Headers, settings Settings) *conn {
+func newConn(tcp *net.TCPConn, headers exchange.Headers, settings Settings) (*conn, error) {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
 	limited := &io.LimitedReader{R: tcp}
 	return &conn{
 		id:        ConnID(lastConnID.Add(1)),
 		tcp:       tcp,
+		raw:       raw,
+		writer:    &requestWriter{raw: raw},
 		limited:   limited,
 		reader:    bufio.NewReaderSize(limited, readBufferBytes),
 		headers:   headers,
 		settings:  settings,
 		keepAlive: defaultKeepAlive,
-	}
+	}, nil
 }
 
 // close closes the connection. The dialer of package netdial configures it to be reset on close.
@@ -84,12 +93,8 @@
 	if err := c.tcp.SetDeadline(time.Time{}); err != nil {
 		return false
 	}
-	raw, err := c.tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
 	idle := false
-	err = raw.Read(func(fd uintptr) bool {
+	err := c.raw.Read(func(fd uintptr) bool {
 		var buffer [1]byte
 		_, _, err := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		idle = errors.Is(err, unix.EAGAIN)
@@ -122,7 +127,7 @@
 }
 
 func (c *conn) write(encoded []byte) error {
-	n, err := c.tcp.Write(encoded)
+	n, err := c.writer.Write(encoded)
 	if err == nil {
 		return nil
 	}
--- a/internal/serverconn/pool.go
+++ b/internal/serverconn/pool.go
@@ -127,7 +127,11 @@
 		_ = tcp.Close()
 		return nil, errors.Wrap(ErrNotSent, "backend server reset the new connection")
 	}
-	return newConn(tcp, p.headers, p.settings), nil
+	c, err := newConn(tcp, p.headers, p.settings)
+	if err != nil {
+		return nil, errors.WithSecondaryError(ErrNotSent, err)
+	}
+	return c, nil
 }
 
 // release returns a connection to the pool, or closes it if it cannot be reused.
--- a/internal/serverconn/read.go
+++ b/internal/serverconn/read.go
@@ -61,6 +61,9 @@
 	if int64(len(body)) > c.settings.MaxResponseBodyBytes {
 		return nil, false, errors.Wrapf(ErrInvalidResponse, "response body exceeds %d bytes", c.settings.MaxResponseBodyBytes)
 	}
+	if endsWithConnection(httpResponse) && c.writer.sawReset() {
+		return nil, false, errors.Wrap(ErrIncompleteResponse, "connection was reset while the request was being written")
+	}
 	c.keepAlive = keepAlive(httpResponse.Header)
 	response := &Response{
 		Status:   httpResponse.StatusCode,
@@ -72,6 +75,11 @@
 	return response, !httpResponse.Close, nil
 }
 
+// endsWithConnection reports whether only the end of the connection tells where the body ends.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
+}
+
 // readBody reads at most limit bytes of a response body.
 func readBody(request *Request, body io.Reader, limit int64) ([]byte, error) {
 	if request.Memory == nil {
--- a/internal/serverconn/stream.go
+++ b/internal/serverconn/stream.go
@@ -38,10 +38,10 @@
 // writePart writes a part of the body, as a chunk if the length of the body is not known.
 func (c *conn) writePart(request *Request, part []byte) error {
 	if request.Length >= 0 {
-		_, err := c.tcp.Write(part)
+		_, err := c.writer.Write(part)
 		return err
 	}
-	_, err := c.tcp.Write(encodeChunk(part))
+	_, err := c.writer.Write(encodeChunk(part))
 	return err
 }
 
@@ -49,7 +49,7 @@
 	if request.Length >= 0 {
 		return nil
 	}
-	if _, err := io.WriteString(c.tcp, lastChunk); err != nil {
+	if _, err := io.WriteString(c.writer, lastChunk); err != nil {
 		return connectionError(err)
 	}
 	return nil
