httpcheck, serverconn: reject heads with names that are none

Callers saw: an answer in whose head the name of a field held a blank. That line was dropped; where it was to set the length, the body was all that followed until the connection ended (MIXED).

Cause: net/http accepts blanks in the names of fields, so Content-Length with a blank before its colon is a field of another name. A continuation line that reads Content-Length belongs to the value before it. Control bytes in names were rejected already.

Why it works: the bytes of each head, also of an interim response, are checked line by line before they are parsed; reading ends at the first malformed line.

--- /dev/null
+++ b/internal/httpcheck/field.go
@@ -0,0 +1,31 @@
+package httpcheck
+
+import (
+	"net/http"
+	"strings"
+)
+
+// Fields checks the names of the fields of a head or a trailer section.
+func Fields(header http.Header) error {
+	for name := range header {
+		if !isToken(name) {
+			return malformedLine("name of a field", name)
+		}
+	}
+	return nil
+}
+
+// tokenSymbols are the characters of a token besides letters and digits.
+const tokenSymbols = "!#$%&'*+-.^_`|~"
+
+// isToken reports whether text can be the name of a field.
+func isToken(text string) bool {
+	for _, c := range []byte(text) {
+		letter := 'a' <= c|0x20 && c|0x20 <= 'z'
+		digit := '0' <= c && c <= '9'
+		if !letter && !digit && strings.IndexByte(tokenSymbols, c) < 0 {
+			return false
+		}
+	}
+	return text != ""
+}
--- a/internal/malformed/malformed.go
+++ b/internal/malformed/malformed.go
@@ -2,7 +2,11 @@
 // answers that are. Tests and the fault soak send them.
 package malformed
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
 
 // Reply is the bytes of an answer. The connection ends in an ordinary way after them.
 type Reply struct {
@@ -29,7 +33,8 @@
 
 // Replies returns answers that are no whole responses. header has the lines by which an answer belongs to its request.
 func Replies(header, body string) []Reply {
-	return answer{header, body}.statusCodes()
+	a := answer{header, body}
+	return slices.Concat(a.statusCodes(), a.fieldNames(), a.misreadLengths())
 }
 
 func (a answer) statusCodes() []Reply {
@@ -39,3 +44,29 @@
 	}
 	return replies
 }
+
+// fieldNames returns answers with a line whose name is none.
+func (a answer) fieldNames() []Reply {
+	var replies []Reply
+	for _, line := range []string{
+		"X Y: z", "X : y", "X\t: y", ": y", "no field", "X(Y): z", "X\"Y: z", "X@Y: z", "X\xe9: y", "X\x00: y", "X\x1f: y", "X\rY: z", "X\x7f: y",
+	} {
+		replies = append(replies, Reply{fmt.Sprintf("field line %q", line), a.withLength(statusOK, line+"\r\n")})
+	}
+	head, _ := strings.CutPrefix(a.withLength(statusOK, ""), statusOK+"\r\n")
+	return append(replies, Reply{"blank before the first field", statusOK + "\r\n " + head})
+}
+
+// misreadLengths returns answers whose length is in a line that is no field. Bytes follow that do not belong to the body.
+func (a answer) misreadLengths() []Reply {
+	var replies []Reply
+	for _, line := range []string{
+		"Content-Length : ", "Content-Length\t: ", "Content Length: ", "Content-Length\x00: ", "Content-Length\x01: ",
+		"\x01Content-Length: ", "Content-\rLength: ", "Content-Length\x7f: ", "Content-Length\v: ", "Content-Length\xa0: ",
+		"X: y\r\n Content-Length: ", "X: y\r\n\tContent-Length: ", "X: y\r\n Content-Length : ", "Transfer-Encoding : chunked\r\nX: ",
+	} {
+		text := a.head(statusOK, fmt.Sprintf("%s%d\r\n", line, len(a.body))) + a.body + "excess"
+		replies = append(replies, Reply{fmt.Sprintf("length in field line %q", line), text})
+	}
+	return replies
+}
--- a/internal/serverconn/read.go
+++ b/internal/serverconn/read.go
@@ -39,6 +39,9 @@
 // readOne reads one response. It returns nil for an interim (1xx) response.
 func (c *conn) readOne(request *Request) (*Response, bool, error) {
 	c.limited.N = maxHeaderBytes
+	if _, err := c.checkHead(); err != nil {
+		return nil, false, err
+	}
 	httpResponse, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
 	if err != nil {
 		return nil, false, readError(err)
