httpcheck: check the protocol and the reason of status lines

Callers saw: answers that begin with HTTP/2.0, HTTP/0.9 or HTTP/3.1, or with control bytes in the reason, passed on as answers (MIXED).

Cause: net/http accepts each version of that form and does not look at the reason.

Why it works: the status line is checked as a whole before it is parsed, in the same place as the names of fields; the check of the status moves there.

--- a/internal/httpcheck/head.go
+++ b/internal/httpcheck/head.go
@@ -19,7 +19,7 @@
 	h.lines++
 	switch {
 	case h.lines == 1:
-		return false, nil
+		return false, checkStatusLine(line)
 	case line == "":
 		return true, nil
 	case line[0] == ' ' || line[0] == '\t':
--- a/internal/malformed/malformed.go
+++ b/internal/malformed/malformed.go
@@ -34,7 +34,7 @@
 // Replies returns answers that are no whole responses. header has the lines by which an answer belongs to its request.
 func Replies(header, body string) []Reply {
 	a := answer{header, body}
-	return slices.Concat(a.statusCodes(), a.fieldNames(), a.misreadLengths())
+	return slices.Concat(a.statusCodes(), a.statusLines(), a.fieldNames(), a.misreadLengths())
 }
 
 func (a answer) statusCodes() []Reply {
@@ -45,6 +45,18 @@
 	return replies
 }
 
+// statusLines returns answers with another protocol, or with a reason that is none.
+func (a answer) statusLines() []Reply {
+	var replies []Reply
+	for _, line := range []string{
+		"HTTP/1.1", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/3.1 200 OK", "HTTP/1.10 200 OK", "HTTP/1 200 OK", "http/1.1 200 OK", "ICY 200 OK",
+		"HTTP/1.1\t200 OK", "HTTP/1.1 200OK", "200 OK", "", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 O\x7fK",
+	} {
+		replies = append(replies, Reply{fmt.Sprintf("status line %q", line), a.withLength(line, "")})
+	}
+	return replies
+}
+
 // fieldNames returns answers with a line whose name is none.
 func (a answer) fieldNames() []Reply {
 	var replies []Reply
--- a/internal/serverconn/read.go
+++ b/internal/serverconn/read.go
@@ -47,11 +47,8 @@
 		return nil, false, readError(err)
 	}
 	defer httpResponse.Body.Close()
-	switch {
-	case httpstatus.IsInterim(httpResponse.StatusCode):
+	if httpstatus.IsInterim(httpResponse.StatusCode) {
 		return nil, true, nil
-	case !httpstatus.IsFinal(httpResponse.StatusCode):
-		return nil, false, errors.Wrapf(ErrInvalidResponse, "status %03d", httpResponse.StatusCode)
 	}
 	c.limited.N = c.settings.MaxResponseBodyBytes + 1
 	body, err := readBody(request, httpResponse.Body, c.settings.MaxResponseBodyBytes+1)
