httpcheck, serverconn: reject chunks that contradict their head

Callers saw: an answer in HTTP/1.0 that is sent in chunks, with the sizes of the chunks in its body; and an answer in chunks whose head states another length (MIXED).

Cause: net/http ignores a transfer coding in HTTP/1.0, and a length beside chunks.

Why it works: the check of the head remembers the transfer coding and the stated lengths. The coding must be one of HTTP/1.1, and each stated length that of the body, so 'chunks and their length' of the unusual answers still arrives. What makes a body whole stands in one function now.

--- a/internal/malformed/malformed.go
+++ b/internal/malformed/malformed.go
@@ -34,7 +34,7 @@
 // Replies returns answers that are no whole responses. header has the lines by which an answer belongs to its request.
 func Replies(header, body string) []Reply {
 	a := answer{header, body}
-	return slices.Concat(a.statusCodes(), a.statusLines(), a.fieldNames(), a.misreadLengths())
+	return slices.Concat(a.statusCodes(), a.statusLines(), a.fieldNames(), a.fieldValues(), a.misreadLengths(), a.lengths(), a.codings(), a.chunks())
 }
 
 func (a answer) statusCodes() []Reply {
@@ -69,6 +69,15 @@
 	return append(replies, Reply{"blank before the first field", statusOK + "\r\n " + head})
 }
 
+// fieldValues returns answers with a control byte in the value of a field.
+func (a answer) fieldValues() []Reply {
+	var replies []Reply
+	for _, line := range []string{"X: y\x00", "X: \x01y", "X: y\rz", "X: y\x7f", "X: y\x1bz", "X: \vy", "X: y\r\n z\x00"} {
+		replies = append(replies, Reply{fmt.Sprintf("value in field line %q", line), a.withLength(statusOK, line+"\r\n")})
+	}
+	return replies
+}
+
 // misreadLengths returns answers whose length is in a line that is no field. Bytes follow that do not belong to the body.
 func (a answer) misreadLengths() []Reply {
 	var replies []Reply
@@ -82,3 +91,45 @@
 	}
 	return replies
 }
+
+// lengths returns answers whose length is none, or another one than that of the body.
+func (a answer) lengths() []Reply {
+	var replies []Reply
+	for _, format := range []string{
+		"Content-Length: -%d", "Content-Length: +%d", "Content-Length: 0x%x", "Content-Length: %d.0", "Content-Length: %d x", "Content-Length: %d, 1",
+		"Content-Length: %d\r\nContent-Length: 1", "Content-Length: 1\r\nContent-Length: %d", "Content-Length: 99999999999999999999%d",
+		"Content-Length: \"%d\"", "X: %d\r\nContent-Length:", "Content-Length: 1%d",
+	} {
+		line := fmt.Sprintf(format, len(a.body))
+		replies = append(replies, Reply{fmt.Sprintf("length %q", line), a.head(statusOK, line+"\r\n") + a.body})
+	}
+	return replies
+}
+
+// codings returns answers with a transfer coding other than chunks, and with chunks and another length.
+func (a answer) codings() []Reply {
+	var replies []Reply
+	for _, line := range []string{
+		"Transfer-Encoding: gzip", "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked, gzip", "Transfer-Encoding: chunked, chunked",
+		"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "Transfer-Encoding: xchunked", "Transfer-Encoding: \"chunked\"",
+		"Transfer-Encoding:", "Transfer-Encoding: identity",
+		"Transfer-Encoding: chunked\r\nContent-Length: 1", "Content-Length: 1\r\nTransfer-Encoding: chunked", "Content-Length: x\r\nTransfer-Encoding: chunked",
+	} {
+		replies = append(replies, Reply{fmt.Sprintf("coding %q", line), a.head(statusOK, line+"\r\n") + a.chunk() + "0\r\n\r\n"})
+	}
+	return append(replies, Reply{"chunks in HTTP/1.0", strings.Replace(a.chunked("", ""), "HTTP/1.1", "HTTP/1.0", 1)})
+}
+
+// chunks returns answers with malformed chunks.
+func (a answer) chunks() []Reply {
+	var replies []Reply
+	for _, format := range []string{
+		"-%x\r\n%s\r\n0\r\n\r\n", "0x%x\r\n%s\r\n0\r\n\r\n", " %x\r\n%s\r\n0\r\n\r\n", "%x\n%s\r\n0\r\n\r\n", "%x\r\n%s\n0\r\n\r\n",
+		"%x\r\n%s0\r\n\r\n", "1%x\r\n%s\r\n0\r\n\r\n", "%x\r\n%s!\r\n0\r\n\r\n", "%x\r\n%s\r\n", "%x\r\n%s\r\n0\r\n", "%x\r\n%s\r\n\r\n\r\n",
+		"%xg\r\n%s\r\n0\r\n\r\n", "fffffffffffffffff%x\r\n%s\r\n0\r\n\r\n", "%x\x00\r\n%s\r\n0\r\n\r\n", "\r\n%x\r\n%s\r\n0\r\n\r\n",
+	} {
+		text := fmt.Sprintf(format, len(a.body), a.body)
+		replies = append(replies, Reply{fmt.Sprintf("chunks %q", format), a.head(statusOK, "Transfer-Encoding: chunked\r\n") + text})
+	}
+	return replies
+}
--- a/internal/serverconn/read.go
+++ b/internal/serverconn/read.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/sapphireplank/sapphireplank/internal/bytebudget"
+	"github.com/sapphireplank/sapphireplank/internal/httpcheck"
 	"github.com/sapphireplank/sapphireplank/internal/httpstatus"
 )
 
@@ -39,7 +40,8 @@
 // readOne reads one response. It returns nil for an interim (1xx) response.
 func (c *conn) readOne(request *Request) (*Response, bool, error) {
 	c.limited.N = maxHeaderBytes
-	if _, err := c.checkHead(); err != nil {
+	head, err := c.checkHead()
+	if err != nil {
 		return nil, false, err
 	}
 	httpResponse, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
@@ -50,19 +52,9 @@
 	if httpstatus.IsInterim(httpResponse.StatusCode) {
 		return nil, true, nil
 	}
-	c.limited.N = c.settings.MaxResponseBodyBytes + 1
-	body, err := readBody(request, httpResponse.Body, c.settings.MaxResponseBodyBytes+1)
-	if errors.Is(err, bytebudget.ErrExhausted) {
-		return nil, false, errors.WithSecondaryError(ErrInvalidResponse, err)
-	}
+	body, err := c.readWholeBody(request, head, httpResponse)
 	if err != nil {
-		return nil, false, connectionError(err)
-	}
-	if int64(len(body)) > c.settings.MaxResponseBodyBytes {
-		return nil, false, errors.Wrapf(ErrInvalidResponse, "response body exceeds %d bytes", c.settings.MaxResponseBodyBytes)
-	}
-	if endsWithConnection(httpResponse) && c.writer.sawReset() {
-		return nil, false, errors.Wrap(ErrIncompleteResponse, "connection was reset while the request was being written")
+		return nil, false, err
 	}
 	c.keepAlive = keepAlive(httpResponse.Header)
 	response := &Response{
@@ -75,6 +67,29 @@
 	return response, !httpResponse.Close, nil
 }
 
+// readWholeBody returns the body of a response, or an error if it is too long or not certain to be whole.
+func (c *conn) readWholeBody(request *Request, head *httpcheck.Head, response *http.Response) ([]byte, error) {
+	limit := c.settings.MaxResponseBodyBytes
+	c.limited.N = limit + 1
+	body, err := readBody(request, response.Body, limit+1)
+	switch {
+	case errors.Is(err, bytebudget.ErrExhausted):
+		return nil, errors.WithSecondaryError(ErrInvalidResponse, err)
+	case err != nil:
+		return nil, connectionError(err)
+	case int64(len(body)) > limit:
+		return nil, errors.Wrapf(ErrInvalidResponse, "response body exceeds %d bytes", limit)
+	case endsWithConnection(response) && c.writer.sawReset():
+		return nil, errors.Wrap(ErrIncompleteResponse, "connection was reset while the request was being written")
+	case response.Body == http.NoBody:
+		return body, nil
+	}
+	if err := head.CheckLength(len(body)); err != nil {
+		return nil, errors.WithSecondaryError(ErrInvalidResponse, err)
+	}
+	return body, nil
+}
+
 // endsWithConnection reports whether only the end of the connection tells where the body ends.
 func endsWithConnection(response *http.Response) bool {
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
