serverconn: reject trailers with names that are none

Callers saw: an answer in chunks as complete whose trailer section has a blank in the name of a field.

Cause: net/http accepts blanks in the names of fields, in trailers as in heads.

Evidence: 2 of 7 malformed trailers failed before in TestMalformedResponses and, on a process of plank-entry, in TestProgramMalformedAnswers. They pass, and unusual trailers still arrive.

Why it works: a body counts as whole only if the names of its trailers are tokens.

--- a/internal/malformed/malformed.go
+++ b/internal/malformed/malformed.go
@@ -34,7 +34,7 @@
 // Replies returns answers that are no whole responses. header has the lines by which an answer belongs to its request.
 func Replies(header, body string) []Reply {
 	a := answer{header, body}
-	return slices.Concat(a.statusCodes(), a.statusLines(), a.fieldNames(), a.fieldValues(), a.misreadLengths(), a.lengths(), a.codings(), a.chunks())
+	return slices.Concat(a.statusCodes(), a.statusLines(), a.fieldNames(), a.fieldValues(), a.misreadLengths(), a.lengths(), a.codings(), a.chunks(), a.trailers())
 }
 
 func (a answer) statusCodes() []Reply {
@@ -133,3 +133,12 @@
 	}
 	return replies
 }
+
+// trailers returns answers in chunks with a malformed trailer section.
+func (a answer) trailers() []Reply {
+	var replies []Reply
+	for _, line := range []string{"X Y: z", "X : y", "X\x01: y", ": y", "no field", "X: y\x00", "X: y\rz"} {
+		replies = append(replies, Reply{fmt.Sprintf("trailer %q", line), a.chunked("", line+"\r\n")})
+	}
+	return replies
+}
--- a/internal/serverconn/read.go
+++ b/internal/serverconn/read.go
@@ -84,7 +84,8 @@
 	case response.Body == http.NoBody:
 		return body, nil
 	}
-	if err := head.CheckLength(len(body)); err != nil {
+	err = errors.CombineErrors(head.CheckLength(len(body)), httpcheck.Fields(response.Trailer))
+	if err != nil {
 		return nil, errors.WithSecondaryError(ErrInvalidResponse, err)
 	}
 	return body, nil
