httpcheck, backend: check answers that the transport of net/http reads

Callers of plank-gateway saw: answers with blanks in the names of fields, another protocol, control bytes in the reason, or another length than that of their chunks, as answers. A control call with such an answer counted as done.

Cause: the transport of net/http accepts them, as its parser does in plank-entry. Answers without a length were rejected already, and with them a reset during an upload.

Evidence: TestMalformedResponses of the package failed in 13 cases before, TestMalformedControlResponses in 20. They pass; the unusual answers arrive (TestUnusualResponses), those without a length are rejected as before.

Why it works: httpcheck.Transport tells each connection when a response begins; the connection checks its bytes, line by line, before net/http gets them, and fails at the first malformed line. The body checks its length and its trailers at its end. The outcome of such a request is unknown, as for other bad responses. The check of the status, which stood twice, is gone from do.go.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/sapphireplank/sapphireplank/internal/httpcheck"
 )
 
 const (
@@ -37,7 +39,7 @@
 // Client is an HTTP/1.1 client of one backend server. It never writes a request twice.
 type Client struct {
 	address   string
-	transport *http.Transport
+	transport *httpcheck.Transport
 	// hideIdempotencyKeys and abortReplays enable the protections against automatic retries by net/http. Only
 	// tests disable them.
 	hideIdempotencyKeys bool
@@ -48,7 +50,7 @@
 func New(options Options) *Client {
 	limit := options.Slots + spareConnections
 	client := &Client{address: options.Address, hideIdempotencyKeys: true, abortReplays: true}
-	client.transport = &http.Transport{
+	client.transport = httpcheck.Wrap(&http.Transport{
 		DialContext:            trackedDial(options),
 		MaxConnsPerHost:        limit,
 		MaxIdleConns:           limit,
@@ -57,7 +59,7 @@
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		DisableCompression:     true,
 		Protocols:              http1Protocols(),
-	}
+	})
 	return client
 }
 
@@ -83,7 +85,7 @@
 		if err != nil {
 			return nil, wrapDialError(err)
 		}
-		return &writeTrackingConn{Conn: conn}, nil
+		return &writeTrackingConn{Conn: httpcheck.NewConn(conn)}, nil
 	}
 }
 
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -1,10 +1,11 @@
 package backend
 
 import (
-	"net"
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/sapphireplank/sapphireplank/internal/httpcheck"
 )
 
 // errConnClosed is returned by writes after closeFor.
@@ -13,7 +14,7 @@
 // writeTrackingConn is a connection that records for each request whether any byte of it was written and that
 // can prevent further writes.
 type writeTrackingConn struct {
-	net.Conn
+	*httpcheck.Conn
 
 	mu sync.Mutex // mu protects the fields below
 	// current is the request that uses the connection. net/http can reassign the connection before the caller
--- a/internal/backend/conn_test.go
+++ b/internal/backend/conn_test.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http/httptrace"
 	"testing"
+
+	"github.com/sapphireplank/sapphireplank/internal/httpcheck"
 )
 
 // TestReassignedConn checks that a written request still counts as written if its connection is reassigned
@@ -11,7 +13,7 @@
 func TestReassignedConn(t *testing.T) {
 	local, remote := net.Pipe()
 	defer remote.Close()
-	conn := &writeTrackingConn{Conn: local}
+	conn := &writeTrackingConn{Conn: httpcheck.NewConn(local)}
 	var first, second attempt
 	first.gotConn(httptrace.GotConnInfo{Conn: conn})
 	go func() { _, _ = remote.Read(make([]byte, 16)) }()
--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -150,10 +150,13 @@
 		return errors.Mark(errors.Newf("backend server returned status %d %s",
 			response.StatusCode, response.Header.Get(HeaderRefused)), ErrControlCall)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxControlResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxControlResponseBytes+1))
 	if err != nil {
 		return errors.Mark(err, ErrControlCall)
 	}
+	if len(body) > maxControlResponseBytes {
+		return errors.Mark(errors.Newf("answer of the backend server exceeds %d bytes", maxControlResponseBytes), ErrControlCall)
+	}
 	if output == nil {
 		return nil
 	}
--- a/internal/backend/do.go
+++ b/internal/backend/do.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -11,7 +10,6 @@
 	"strings"
 
 	"github.com/sapphireplank/sapphireplank/internal/hopheader"
-	"github.com/sapphireplank/sapphireplank/internal/httpstatus"
 	"github.com/sapphireplank/sapphireplank/internal/outcome"
 )
 
@@ -88,14 +86,11 @@
 	}, nil
 }
 
-// checkResponse returns a problem if the response is malformed, belongs to another request or is a refusal.
+// checkResponse returns a problem if the response has no length, belongs to another request or is a refusal.
 func checkResponse(req *Request, httpResponse *http.Response) *outcome.Problem {
 	if httpResponse.Header.Get(HeaderRequestID) != req.ID.String() {
 		return badResponse("the answer does not repeat the request id")
 	}
-	if !httpstatus.IsFinal(httpResponse.StatusCode) {
-		return badResponse(fmt.Sprintf("the answer has the status %03d, which ends no exchange", httpResponse.StatusCode))
-	}
 	if delimitedByClose(req, httpResponse) {
 		return badResponse("the answer has no length, so that a cut could not be noticed")
 	}
--- a/internal/backend/transport_error.go
+++ b/internal/backend/transport_error.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/sapphireplank/sapphireplank/internal/httpcheck"
 	"github.com/sapphireplank/sapphireplank/internal/outcome"
 )
 
@@ -27,6 +28,8 @@
 	case errors.Is(err, context.Canceled):
 		return outcome.New(outcome.KindCanceled, http.StatusBadGateway, execution,
 			"the caller gave up the request; "+retryAdvice(execution))
+	case errors.Is(err, httpcheck.ErrMalformed):
+		return badResponse(err.Error())
 	case isDialError(err):
 		return outcome.New(outcome.KindConnect, http.StatusBadGateway, execution,
 			"no connection to the backend server could be made: "+err.Error())
--- /dev/null
+++ b/internal/httpcheck/conn.go
@@ -0,0 +1,94 @@
+package httpcheck
+
+import (
+	"net"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxLineBytes limits a line of a head.
+const maxLineBytes = 64 << 10
+
+// Conn is a connection whose reader parses responses by net/http. It checks their heads before net/http sees them.
+type Conn struct {
+	net.Conn
+
+	// mu protects the fields below.
+	mu sync.Mutex
+	// head is that of the latest response.
+	head *Head
+	// reading is set until the head has ended.
+	reading bool
+	// line is the part of the next line that has arrived.
+	line []byte
+}
+
+// NewConn returns a connection that checks what is read from conn once BeginResponse has been called.
+func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn, head: &Head{}} }
+
+// BeginResponse makes the next bytes be checked as the head of a response. It is called before each request.
+func (c *Conn) BeginResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.startHead()
+}
+
+// startHead begins another head. The caller must hold mu.
+func (c *Conn) startHead() {
+	c.head, c.reading, c.line = &Head{}, true, nil
+}
+
+// Head returns the head of the latest response.
+func (c *Conn) Head() *Head {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head
+}
+
+// Read implements net.Conn. It fails with an ErrMalformed at the end of a malformed line of a head.
+func (c *Conn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if malformed := c.check(buffer[:n]); malformed != nil {
+		return 0, malformed
+	}
+	return n, err
+}
+
+// check checks the part of the received bytes that belongs to a head.
+func (c *Conn) check(received []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, b := range received {
+		if !c.reading {
+			return nil
+		}
+		if b != '\n' {
+			c.line = append(c.line, b)
+			continue
+		}
+		if err := c.endLine(); err != nil {
+			return err
+		}
+	}
+	if len(c.line) > maxLineBytes {
+		return errors.Wrapf(ErrMalformed, "line of a head is longer than %d bytes", maxLineBytes)
+	}
+	return nil
+}
+
+// endLine checks a line that has arrived. The caller must hold mu.
+func (c *Conn) endLine() error {
+	ended, err := c.head.Line(strings.TrimSuffix(string(c.line), "\r"))
+	c.line = c.line[:0]
+	switch {
+	case err != nil:
+		return err
+	case ended && c.head.IsInterim():
+		c.startHead()
+	case ended:
+		c.reading, c.line = false, nil
+	}
+	return nil
+}
--- a/internal/httpcheck/head.go
+++ b/internal/httpcheck/head.go
@@ -5,6 +5,8 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/sapphireplank/sapphireplank/internal/httpstatus"
 )
 
 // Names of the fields that determine where a body ends.
@@ -15,7 +17,8 @@
 
 // Head checks the head of a response line by line.
 type Head struct {
-	lines int
+	lines  int
+	status int
 	// http10 is set if the response is in HTTP/1.0, which has no transfer codings.
 	http10 bool
 	// coded is set if the body has a transfer coding, which determines its length.
@@ -31,7 +34,8 @@
 	switch {
 	case h.lines == 1:
 		h.http10 = strings.HasPrefix(line, protocolPrefix+"0")
-		return false, checkStatusLine(line)
+		h.status, err = parseStatusLine(line)
+		return false, err
 	case line == "":
 		return true, h.checkCoding()
 	case line[0] == ' ' || line[0] == '\t':
@@ -40,6 +44,9 @@
 	return false, h.fieldLine(line)
 }
 
+// IsInterim reports whether another response follows.
+func (h *Head) IsInterim() bool { return httpstatus.IsInterim(h.status) }
+
 // fieldLine checks the name of a field. Its value is left to net/http.
 func (h *Head) fieldLine(line string) error {
 	name, value, _ := strings.Cut(line, ":")
--- a/internal/httpcheck/statusline.go
+++ b/internal/httpcheck/statusline.go
@@ -10,22 +10,22 @@
 // protocolPrefix begins the status line, and is followed by the minor version.
 const protocolPrefix = "HTTP/1."
 
-// checkStatusLine checks the first line of a response. Several blanks before the status, and no reason, are allowed.
-func checkStatusLine(line string) error {
+// parseStatusLine checks the first line of a response and returns its status. Several blanks before the status, and no reason, are allowed.
+func parseStatusLine(line string) (int, error) {
 	version, rest, _ := strings.Cut(line, " ")
 	minor, ok := strings.CutPrefix(version, protocolPrefix)
 	if !ok || len(minor) != 1 || minor < "0" || minor > "9" {
-		return malformedLine("protocol in the status line", line)
+		return 0, malformedLine("protocol in the status line", line)
 	}
 	text, reason, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
 	status, err := strconv.Atoi(text)
 	if err != nil || !httpstatus.IsFinal(status) && !httpstatus.IsInterim(status) {
-		return malformedLine("status in the status line", line)
+		return 0, malformedLine("status in the status line", line)
 	}
 	if strings.ContainsFunc(reason, isControl) {
-		return malformedLine("reason in the status line", line)
+		return 0, malformedLine("reason in the status line", line)
 	}
-	return nil
+	return status, nil
 }
 
 // isControl reports whether a character must not stand in a reason.
--- a/internal/malformed/malformed.go
+++ b/internal/malformed/malformed.go
@@ -12,6 +12,8 @@
 type Reply struct {
 	Name string
 	Text string
+	// NoLength is set if only the end of the connection tells where the body ends.
+	NoLength bool
 }
 
 // answer builds replies from the lines by which an answer belongs to its request, each with its line end, and its body.
@@ -40,7 +42,7 @@
 func (a answer) statusCodes() []Reply {
 	var replies []Reply
 	for _, code := range []string{"000", "001", "020", "099", "101", "600", "999", "20", "2000", "+20", "-20", "2x0", ""} {
-		replies = append(replies, Reply{fmt.Sprintf("status %q", code), a.withLength("HTTP/1.1 "+code+" OK", "")})
+		replies = append(replies, Reply{Name: fmt.Sprintf("status %q", code), Text: a.withLength("HTTP/1.1 "+code+" OK", "")})
 	}
 	return replies
 }
@@ -52,7 +54,7 @@
 		"HTTP/1.1", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/3.1 200 OK", "HTTP/1.10 200 OK", "HTTP/1 200 OK", "http/1.1 200 OK", "ICY 200 OK",
 		"HTTP/1.1\t200 OK", "HTTP/1.1 200OK", "200 OK", "", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 O\x7fK",
 	} {
-		replies = append(replies, Reply{fmt.Sprintf("status line %q", line), a.withLength(line, "")})
+		replies = append(replies, Reply{Name: fmt.Sprintf("status line %q", line), Text: a.withLength(line, "")})
 	}
 	return replies
 }
@@ -63,17 +65,17 @@
 	for _, line := range []string{
 		"X Y: z", "X : y", "X\t: y", ": y", "no field", "X(Y): z", "X\"Y: z", "X@Y: z", "X\xe9: y", "X\x00: y", "X\x1f: y", "X\rY: z", "X\x7f: y",
 	} {
-		replies = append(replies, Reply{fmt.Sprintf("field line %q", line), a.withLength(statusOK, line+"\r\n")})
+		replies = append(replies, Reply{Name: fmt.Sprintf("field line %q", line), Text: a.withLength(statusOK, line+"\r\n")})
 	}
 	head, _ := strings.CutPrefix(a.withLength(statusOK, ""), statusOK+"\r\n")
-	return append(replies, Reply{"blank before the first field", statusOK + "\r\n " + head})
+	return append(replies, Reply{Name: "blank before the first field", Text: statusOK + "\r\n " + head})
 }
 
 // fieldValues returns answers with a control byte in the value of a field.
 func (a answer) fieldValues() []Reply {
 	var replies []Reply
 	for _, line := range []string{"X: y\x00", "X: \x01y", "X: y\rz", "X: y\x7f", "X: y\x1bz", "X: \vy", "X: y\r\n z\x00"} {
-		replies = append(replies, Reply{fmt.Sprintf("value in field line %q", line), a.withLength(statusOK, line+"\r\n")})
+		replies = append(replies, Reply{Name: fmt.Sprintf("value in field line %q", line), Text: a.withLength(statusOK, line+"\r\n")})
 	}
 	return replies
 }
@@ -87,7 +89,7 @@
 		"X: y\r\n Content-Length: ", "X: y\r\n\tContent-Length: ", "X: y\r\n Content-Length : ", "Transfer-Encoding : chunked\r\nX: ",
 	} {
 		text := a.head(statusOK, fmt.Sprintf("%s%d\r\n", line, len(a.body))) + a.body + "excess"
-		replies = append(replies, Reply{fmt.Sprintf("length in field line %q", line), text})
+		replies = append(replies, Reply{Name: fmt.Sprintf("length in field line %q", line), Text: text})
 	}
 	return replies
 }
@@ -101,7 +103,7 @@
 		"Content-Length: \"%d\"", "X: %d\r\nContent-Length:", "Content-Length: 1%d",
 	} {
 		line := fmt.Sprintf(format, len(a.body))
-		replies = append(replies, Reply{fmt.Sprintf("length %q", line), a.head(statusOK, line+"\r\n") + a.body})
+		replies = append(replies, Reply{Name: fmt.Sprintf("length %q", line), Text: a.head(statusOK, line+"\r\n") + a.body})
 	}
 	return replies
 }
@@ -115,9 +117,9 @@
 		"Transfer-Encoding:", "Transfer-Encoding: identity",
 		"Transfer-Encoding: chunked\r\nContent-Length: 1", "Content-Length: 1\r\nTransfer-Encoding: chunked", "Content-Length: x\r\nTransfer-Encoding: chunked",
 	} {
-		replies = append(replies, Reply{fmt.Sprintf("coding %q", line), a.head(statusOK, line+"\r\n") + a.chunk() + "0\r\n\r\n"})
+		replies = append(replies, Reply{Name: fmt.Sprintf("coding %q", line), Text: a.head(statusOK, line+"\r\n") + a.chunk() + "0\r\n\r\n"})
 	}
-	return append(replies, Reply{"chunks in HTTP/1.0", strings.Replace(a.chunked("", ""), "HTTP/1.1", "HTTP/1.0", 1)})
+	return append(replies, Reply{Name: "chunks in HTTP/1.0", Text: strings.Replace(a.chunked("", ""), "HTTP/1.1", "HTTP/1.0", 1)})
 }
 
 // chunks returns answers with malformed chunks.
@@ -129,7 +131,7 @@
 		"%xg\r\n%s\r\n0\r\n\r\n", "fffffffffffffffff%x\r\n%s\r\n0\r\n\r\n", "%x\x00\r\n%s\r\n0\r\n\r\n", "\r\n%x\r\n%s\r\n0\r\n\r\n",
 	} {
 		text := fmt.Sprintf(format, len(a.body), a.body)
-		replies = append(replies, Reply{fmt.Sprintf("chunks %q", format), a.head(statusOK, "Transfer-Encoding: chunked\r\n") + text})
+		replies = append(replies, Reply{Name: fmt.Sprintf("chunks %q", format), Text: a.head(statusOK, "Transfer-Encoding: chunked\r\n") + text})
 	}
 	return replies
 }
@@ -138,7 +140,7 @@
 func (a answer) trailers() []Reply {
 	var replies []Reply
 	for _, line := range []string{"X Y: z", "X : y", "X\x01: y", ": y", "no field", "X: y\x00", "X: y\rz"} {
-		replies = append(replies, Reply{fmt.Sprintf("trailer %q", line), a.chunked("", line+"\r\n")})
+		replies = append(replies, Reply{Name: fmt.Sprintf("trailer %q", line), Text: a.chunked("", line+"\r\n")})
 	}
 	return replies
 }
