netwrite, httpcheck: notice resets during long calls to the store

What happened: the store answers a long commit early with a 200 without a length and resets the connection. The commit counted as acknowledged.

Cause: as for uploads, the goroutine of net/http that writes the request met the reset, and the one that reads saw an ordinary end.

Why it works: the writer that records how a connection ended moves from serverconn into package netwrite, and the connections of httpcheck use it. A body that ends with its connection is whole only if no write has met a reset. Which responses these are stood in serverconn and backend, and stands in httpcheck now.

--- a/internal/backend/do.go
+++ b/internal/backend/do.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"github.com/sapphireplank/sapphireplank/internal/hopheader"
+	"github.com/sapphireplank/sapphireplank/internal/httpcheck"
 	"github.com/sapphireplank/sapphireplank/internal/outcome"
 )
 
@@ -91,17 +92,12 @@
 	if httpResponse.Header.Get(HeaderRequestID) != req.ID.String() {
 		return badResponse("the answer does not repeat the request id")
 	}
-	if delimitedByClose(req, httpResponse) {
+	if httpcheck.EndsWithConnection(httpResponse) {
 		return badResponse("the answer has no length, so that a cut could not be noticed")
 	}
 	return refusalProblem(httpResponse.StatusCode, httpResponse.Header)
 }
 
-// delimitedByClose reports whether the end of the body is marked only by the end of the connection.
-func delimitedByClose(req *Request, httpResponse *http.Response) bool {
-	return httpResponse.ContentLength < 0 && len(httpResponse.TransferEncoding) == 0 && req.Method != http.MethodHead
-}
-
 func requestTarget(address, path string) (*url.URL, *outcome.Problem) {
 	target, err := url.ParseRequestURI(path)
 	if err != nil || !strings.HasPrefix(path, "/") {
--- a/internal/httpcheck/body.go
+++ b/internal/httpcheck/body.go
@@ -7,9 +7,11 @@
 	"github.com/cockroachdb/errors"
 )
 
-// body is the body of a response. At its end it checks the length that the head states, and the trailers.
+// body is the body of a response. At its end it checks the length that the head states, the trailers, and how the connection ended
+// if only that tells where the body ends.
 type body struct {
 	io.ReadCloser
+	conn     checker
 	head     *Head
 	response *http.Response
 	length   int
@@ -22,8 +24,16 @@
 	if err != io.EOF {
 		return n, err
 	}
+	if EndsWithConnection(b.response) && b.conn.SawReset() {
+		return n, errors.Wrap(io.ErrUnexpectedEOF, "connection was reset while the request was being written")
+	}
 	if malformed := errors.CombineErrors(b.head.CheckLength(b.length), Fields(b.response.Trailer)); malformed != nil {
 		return n, malformed
 	}
 	return n, io.EOF
 }
+
+// EndsWithConnection reports whether only the end of the connection tells where the body of a response ends.
+func EndsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
+}
--- a/internal/httpcheck/conn.go
+++ b/internal/httpcheck/conn.go
@@ -4,8 +4,11 @@
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/sapphireplank/sapphireplank/internal/netwrite"
 )
 
 // maxLineBytes limits a line of a head.
@@ -14,6 +17,8 @@
 // Conn is a connection whose reader parses responses by net/http. It checks their heads before net/http sees them.
 type Conn struct {
 	net.Conn
+	// writer is nil if the connection is not one of the operating system.
+	writer *netwrite.Writer
 
 	// mu protects the fields below.
 	mu sync.Mutex
@@ -26,7 +31,26 @@
 }
 
 // NewConn returns a connection that checks what is read from conn once BeginResponse has been called.
-func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn, head: &Head{}} }
+func NewConn(conn net.Conn) *Conn {
+	c := &Conn{Conn: conn, head: &Head{}}
+	if system, ok := conn.(syscall.Conn); ok {
+		if raw, err := system.SyscallConn(); err == nil {
+			c.writer = netwrite.NewWriter(raw)
+		}
+	}
+	return c
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(content []byte) (int, error) {
+	if c.writer == nil {
+		return c.Conn.Write(content)
+	}
+	return c.writer.Write(content)
+}
+
+// SawReset reports whether a write has failed because the connection did not end in an ordinary way.
+func (c *Conn) SawReset() bool { return c.writer != nil && c.writer.SawReset() }
 
 // BeginResponse makes the next bytes be checked as the head of a response. It is called before each request.
 func (c *Conn) BeginResponse() {
--- a/internal/httpcheck/transport.go
+++ b/internal/httpcheck/transport.go
@@ -33,10 +33,11 @@
 // Wrap returns a transport that uses base, whose connections have the methods of Conn.
 func Wrap(base *http.Transport) *Transport { return &Transport{base: base} }
 
-// checker is a connection that checks heads.
+// checker is a connection that checks heads and records how it ended.
 type checker interface {
 	BeginResponse()
 	Head() *Head
+	SawReset() bool
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -51,7 +52,7 @@
 		return nil, err
 	}
 	if response.Body != http.NoBody {
-		response.Body = &body{ReadCloser: response.Body, head: conn.Head(), response: response}
+		response.Body = &body{ReadCloser: response.Body, conn: conn, head: conn.Head(), response: response}
 	}
 	return response, nil
 }
--- a/internal/serverconn/requestwriter.go
+++ b/internal/netwrite/writer.go
@@ -1,4 +1,5 @@
-package serverconn
+// Package netwrite writes to connections whose input another goroutine reads.
+package netwrite
 
 import (
 	"os"
@@ -9,10 +10,10 @@
 	"golang.org/x/sys/unix"
 )
 
-// requestWriter writes a request to a connection while another goroutine reads the response, and records how the
-// connection ended. The kernel reports a reset only to the first call that meets it. If that is a write, the reader sees
-// an ordinary end, and would take a response for complete that ends with its connection.
-type requestWriter struct {
+// Writer writes to a connection while another goroutine reads from it, and records how the connection ended. The kernel reports a
+// reset only to the first call that meets it. If that is a write, the reader sees an ordinary end, and would take a response
+// for complete that ends with its connection.
+type Writer struct {
 	raw syscall.RawConn
 
 	// mu protects failure. It is held during each system call, so that a reader that has seen the end of the connection
@@ -22,8 +23,11 @@
 	failure error
 }
 
+// NewWriter returns a writer to a connection. All writes to that connection must go through it.
+func NewWriter(raw syscall.RawConn) *Writer { return &Writer{raw: raw} }
+
 // Write implements io.Writer.
-func (w *requestWriter) Write(content []byte) (int, error) {
+func (w *Writer) Write(content []byte) (int, error) {
 	written := 0
 	for written < len(content) {
 		n, err := w.writeOnce(content[written:])
@@ -36,7 +40,7 @@
 }
 
 // writeOnce writes a part of the content as soon as the connection takes it.
-func (w *requestWriter) writeOnce(content []byte) (int, error) {
+func (w *Writer) writeOnce(content []byte) (int, error) {
 	var n int
 	var failure error
 	err := w.raw.Write(func(fd uintptr) (done bool) {
@@ -68,9 +72,9 @@
 	}
 }
 
-// sawReset reports whether a write has failed because the connection did not end in an ordinary way. A broken pipe is none: the
-// backend server had ended its output before.
-func (w *requestWriter) sawReset() bool {
+// SawReset reports whether a write has failed because the connection did not end in an ordinary way. A broken pipe is none: the
+// peer had ended its output before.
+func (w *Writer) SawReset() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.failure != nil && !errors.Is(w.failure, unix.EPIPE)
--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/sapphireplank/sapphireplank/internal/exchange"
+	"github.com/sapphireplank/sapphireplank/internal/netwrite"
 )
 
 const (
@@ -42,7 +43,7 @@
 	id       ConnID
 	tcp      *net.TCPConn
 	raw      syscall.RawConn
-	writer   *requestWriter
+	writer   *netwrite.Writer
 	limited  *io.LimitedReader
 	reader   *bufio.Reader
 	headers  exchange.Headers
@@ -69,7 +70,7 @@
 		id:        ConnID(lastConnID.Add(1)),
 		tcp:       tcp,
 		raw:       raw,
-		writer:    &requestWriter{raw: raw},
+		writer:    netwrite.NewWriter(raw),
 		limited:   limited,
 		reader:    bufio.NewReaderSize(limited, readBufferBytes),
 		headers:   headers,
--- a/internal/serverconn/read.go
+++ b/internal/serverconn/read.go
@@ -79,7 +79,7 @@
 		return nil, connectionError(err)
 	case int64(len(body)) > limit:
 		return nil, errors.Wrapf(ErrInvalidResponse, "response body exceeds %d bytes", limit)
-	case endsWithConnection(response) && c.writer.sawReset():
+	case httpcheck.EndsWithConnection(response) && c.writer.SawReset():
 		return nil, errors.Wrap(ErrIncompleteResponse, "connection was reset while the request was being written")
 	case response.Body == http.NoBody:
 		return body, nil
@@ -91,11 +91,6 @@
 	return body, nil
 }
 
-// endsWithConnection reports whether only the end of the connection tells where the body ends.
-func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
-}
-
 // readBody reads at most limit bytes of a response body.
 func readBody(request *Request, body io.Reader, limit int64) ([]byte, error) {
 	if request.Memory == nil {
