store, hostlist, ctl: check the answers of the product's own interface

What happened: bytes that are no whole answer counted as an entry of the own store, as a list of hosts or as a response of the administration API. A value longer than its limit was cut off, one without a length could be cut, and of a list only the first JSON value was read, without a limit.

Cause: the clients use net/http as it is, and the list a decoder that stops at the end of a value.

Evidence: the tests named here failed before: store TestMalformedAnswers in 20 cases, TestUnusualAnswers for the two answers without a length, TestTooLongValue; hostlist TestMalformedAnswers in 35; ctl TestMalformedResponses in 28.

Why it works: httpcheck.Client wraps the transport of each. Values need a length and lists are decoded whole, up to 8 MB. An empty list is [] now, no longer null. The server of the tests with malformed answers stands once, in malformed.

--- a/internal/backend/status_test.go
+++ b/internal/backend/status_test.go
@@ -1,10 +1,6 @@
 package backend_test
 
 import (
-	"bufio"
-	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 
@@ -15,35 +11,18 @@
 // serveText answers each request with the text that answer returns for the line with the ID of the request, and ends the connection.
 func serveText(t *testing.T, answer func(header string) string) *backend.Client {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := malformed.Listen(func(request *http.Request) string {
+		return answer(backend.HeaderRequestID + ": " + request.Header.Get(backend.HeaderRequestID) + "\r\n")
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go answerText(conn, answer)
-		}
-	}()
 	client := backend.New(backend.Options{Address: listener.Addr().String(), Slots: 1})
 	t.Cleanup(client.Close)
 	return client
 }
 
-func answerText(conn net.Conn, answer func(header string) string) {
-	defer conn.Close()
-	request, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	io.Copy(io.Discard, request.Body)
-	fmt.Fprint(conn, answer(backend.HeaderRequestID+": "+request.Header.Get(backend.HeaderRequestID)+"\r\n"))
-}
-
 // Guards against a status that no response has, such as 000, which reached the client as an answer or ended its connection.
 func TestInvalidStatus(t *testing.T) {
 	for _, status := range []string{"000", "099", "101", "600", "999", "+20"} {
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -135,7 +135,10 @@
 		return errors.Mark(errors.Wrapf(err, "%s", errGatewayUnreachable.Error()), errGatewayUnreachable)
 	}
 	defer response.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err == nil && len(text) > maxResponseBytes {
+		err = errors.Newf("response of more than %d bytes", maxResponseBytes)
+	}
 	if err != nil {
 		return errors.Mark(errors.Wrapf(err, "%s", errGatewayUnreachable.Error()), errGatewayUnreachable)
 	}
--- a/internal/ctl/program.go
+++ b/internal/ctl/program.go
@@ -15,6 +15,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/sapphireplank/sapphireplank/internal/cli"
+	"github.com/sapphireplank/sapphireplank/internal/httpcheck"
 )
 
 // Program is plankctl together with its environment, which tests can replace.
@@ -42,7 +43,7 @@
 		Now:        time.Now,
 		NewID:      rand.Text,
 		Sleep:      sleep,
-		HTTP:       &http.Client{CheckRedirect: rejectRedirect},
+		HTTP:       httpcheck.Client(&http.Client{CheckRedirect: rejectRedirect}),
 	}
 }
 
--- a/internal/hostlist/http.go
+++ b/internal/hostlist/http.go
@@ -4,15 +4,21 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/sapphireplank/sapphireplank/internal/httpcheck"
 )
 
 // pathHosts is the path of the list, which is a JSON array of Host.
 const pathHosts = "/v1/hosts"
 
+// maxListBytes limits the list. Each host takes about 200 bytes.
+const maxListBytes = 8 << 20
+
 // NewHandler returns a handler that serves list to Client over HTTP.
 func NewHandler(list List) http.Handler {
 	mux := http.NewServeMux()
@@ -22,6 +28,9 @@
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
+		if hosts == nil {
+			hosts = []Host{}
+		}
 		w.Header().Set("Content-Type", "application/json")
 		// A write error means that the client has disconnected; there is nobody to report it to.
 		_ = json.NewEncoder(w).Encode(hosts)
@@ -38,7 +47,7 @@
 
 // NewClient returns a client for the list at the URL base, for example "http://127.0.0.1:7400".
 func NewClient(base string, client *http.Client) *Client {
-	return &Client{url: strings.TrimSuffix(base, "/") + pathHosts, http: client}
+	return &Client{url: strings.TrimSuffix(base, "/") + pathHosts, http: httpcheck.Client(client)}
 }
 
 // Hosts implements List.
@@ -55,9 +64,24 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Wrapf(ErrUnavailable, "unexpected HTTP status %d", response.StatusCode)
 	}
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return decodeHosts(text)
+}
+
+// decodeHosts decodes a whole list.
+func decodeHosts(text []byte) ([]Host, error) {
+	if len(text) > maxListBytes {
+		return nil, errors.Wrapf(ErrUnavailable, "list of more than %d bytes", maxListBytes)
+	}
 	var hosts []Host
-	if err := json.NewDecoder(response.Body).Decode(&hosts); err != nil {
+	if err := json.Unmarshal(text, &hosts); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
+	if hosts == nil {
+		return nil, errors.Wrap(ErrUnavailable, "answer without a list")
+	}
 	return hosts, nil
 }
--- a/internal/malformed/malformed.go
+++ b/internal/malformed/malformed.go
@@ -33,6 +33,11 @@
 	return a.head(statusLine, lines+fmt.Sprintf("Content-Length: %d\r\n", len(a.body))) + a.body
 }
 
+// Whole returns a whole response with a body.
+func Whole(header, body string) Reply {
+	return Reply{Name: fmt.Sprintf("body %q", body), Text: answer{header, body}.withLength(statusOK, "")}
+}
+
 // Replies returns answers that are no whole responses. header has the lines by which an answer belongs to its request.
 func Replies(header, body string) []Reply {
 	a := answer{header, body}
--- a/internal/store/httpclient.go
+++ b/internal/store/httpclient.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/sapphireplank/sapphireplank/internal/httpcheck"
 )
 
 // Client is a Store that uses the HTTP API of NewHandler in another process. It sets no timeouts of its own, so each
@@ -22,7 +24,7 @@
 
 // NewClient returns a client for the store at the URL base, for example "http://127.0.0.1:7400".
 func NewClient(base string, client *http.Client) *Client {
-	return &Client{base: strings.TrimSuffix(base, "/"), http: client}
+	return &Client{base: strings.TrimSuffix(base, "/"), http: httpcheck.Client(client)}
 }
 
 // Get implements Store.
@@ -80,9 +82,9 @@
 		return Entry{}, wrapUnavailable(err)
 	}
 	defer response.Body.Close()
-	value, err := io.ReadAll(io.LimitReader(response.Body, MaxValueBytes+1))
+	value, err := readValue(response)
 	if err != nil {
-		return Entry{}, wrapUnavailable(err)
+		return Entry{}, err
 	}
 	if err := errorFromStatus(response.StatusCode); err != nil {
 		return Entry{}, err
@@ -93,3 +95,18 @@
 	}
 	return Entry{Key: key, Value: value, Version: version}, nil
 }
+
+// readValue reads the body of a response, which must be certain to be whole.
+func readValue(response *http.Response) ([]byte, error) {
+	if httpcheck.EndsWithConnection(response) {
+		return nil, errors.Wrap(ErrUnavailable, "answer without length, so that a cut could not be noticed")
+	}
+	value, err := io.ReadAll(io.LimitReader(response.Body, MaxValueBytes+1))
+	if err != nil {
+		return nil, wrapUnavailable(err)
+	}
+	if len(value) > MaxValueBytes {
+		return nil, errors.Wrapf(ErrUnavailable, "answer of more than %d bytes", MaxValueBytes)
+	}
+	return value, nil
+}
