gateway: check the fields in heads of other gateways

What happened: a head from another gateway could hold a field that no response has, or a negative length, and was passed on.

Cause: the status was checked only.

Why it works: httpcheck.Fields checks names and values, as in the heads and trailers of backend servers. Cut or foreign responses of gateways were rejected already by their End frame (TestTruncatedResponseIsNeverComplete).

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sapphireplank/sapphireplank/internal/backend"
+	"github.com/sapphireplank/sapphireplank/internal/httpcheck"
 	"github.com/sapphireplank/sapphireplank/internal/httpstatus"
 	"github.com/sapphireplank/sapphireplank/internal/outcome"
 	"github.com/sapphireplank/sapphireplank/internal/peer"
@@ -65,20 +66,31 @@
 	return head, nil
 }
 
-// checkResponseHead returns a problem if the head of a response belongs to another request, or has a status with which no
-// exchange ends.
+// lengthUnknown is the length of a body that only the End frame states.
+const lengthUnknown = -1
+
+// checkResponseHead returns a problem if the head of a response belongs to another request, or is one that no response has.
 func checkResponseHead(head *wire.ResponseHead, requestID []byte) *outcome.Problem {
 	switch {
 	case string(head.RequestId) != string(requestID):
-		return outcome.New(outcome.KindBadResponse, http.StatusBadGateway, outcome.Unknown,
-			"a gateway answered another request; the outcome is unknown")
-	case head.Problem == nil && !httpstatus.IsFinal(int(head.Status)):
-		return outcome.New(outcome.KindBadResponse, http.StatusBadGateway, outcome.Unknown,
-			fmt.Sprintf("a gateway answered with the status %03d, which ends no exchange; the outcome is unknown", head.Status))
+		return badPeerResponse("a gateway answered another request")
+	case head.Problem != nil:
+		return nil
+	case !httpstatus.IsFinal(int(head.Status)):
+		return badPeerResponse(fmt.Sprintf("a gateway answered with the status %03d, which ends no exchange", head.Status))
+	case head.ContentLength < lengthUnknown:
+		return badPeerResponse("a gateway answered with a negative length")
+	}
+	if err := httpcheck.Fields(fromWireHeader(head.Headers)); err != nil {
+		return badPeerResponse("a gateway answered with a field that no response has")
 	}
 	return nil
 }
 
+func badPeerResponse(detail string) *outcome.Problem {
+	return outcome.New(outcome.KindBadResponse, http.StatusBadGateway, outcome.Unknown, detail+"; the outcome is unknown")
+}
+
 // writeRequest encodes head, body and end of the request and sends them in a single write.
 func writeRequest(stream io.Writer, c *call, t target) error {
 	pooled := messageBuffers.Get().(*[]byte)
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -23,3 +23,23 @@
 		t.Errorf("refusal of a gateway: %v", problem)
 	}
 }
+
+// Guards against a line in the head of a response from another gateway that no response can have.
+func TestResponseHeadFields(t *testing.T) {
+	id := []byte("0123456789abcdef")
+	for _, c := range []struct {
+		name, value string
+		length      int64
+		valid       bool
+	}{
+		{"X-Lower", "a b\tc\xe9", -1, true}, {"x", "", 0, true},
+		{"X Y", "z", 0, false}, {"X ", "z", 0, false}, {"", "z", 0, false}, {"X\x01", "z", 0, false}, {"X:", "z", 0, false}, {"X\r\nY", "z", 0, false},
+		{"X", "a\x00", 0, false}, {"X", "a\r\nContent-Length: 1", 0, false}, {"X", "\x7f", 0, false}, {"X", "y", -2, false},
+	} {
+		head := &wire.ResponseHead{RequestId: id, Status: 200, ContentLength: c.length, Headers: []*wire.Header{{Name: c.name, Value: c.value}}}
+		problem := checkResponseHead(head, id)
+		if (problem == nil) != c.valid || problem != nil && problem.Outcome != outcome.Unknown {
+			t.Errorf("field %q with value %q, length %d: %v", c.name, c.value, c.length, problem)
+		}
+	}
+}
--- a/internal/httpcheck/field.go
+++ b/internal/httpcheck/field.go
@@ -5,16 +5,24 @@
 	"strings"
 )
 
-// Fields checks the names of the fields of a head or a trailer section.
+// Fields checks the names and values of the fields of a head or a trailer section.
 func Fields(header http.Header) error {
-	for name := range header {
+	for name, values := range header {
 		if !isToken(name) {
 			return malformedLine("name of a field", name)
 		}
+		for _, value := range values {
+			if strings.ContainsFunc(value, isControl) {
+				return malformedLine("value of the field "+name, value)
+			}
+		}
 	}
 	return nil
 }
 
+// isControl reports whether a character must not stand in a value or a reason.
+func isControl(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f }
+
 // tokenSymbols are the characters of a token besides letters and digits.
 const tokenSymbols = "!#$%&'*+-.^_`|~"
 
--- a/internal/httpcheck/statusline.go
+++ b/internal/httpcheck/statusline.go
@@ -27,6 +27,3 @@
 	}
 	return status, nil
 }
-
-// isControl reports whether a character must not stand in a reason.
-func isControl(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f }
