soak: servers that send malformed answers or cut off answers to uploads

A server now answers in turn with the malformed and the unusual answers of package malformed, requests and orders; one for uploads answers 8 MB early, without a length, and resets the connection.

The proxies between gateways and servers passed such a reset on as an ordinary end, for the same reason as the gateways did: TestResetWhileForwarding. They use netwrite and small buffers now, also towards the receiver of a stalled connection.

--- a/internal/soak/answers.go
+++ b/internal/soak/answers.go
@@ -2,14 +2,6 @@
 
 import "time"
 
-// repeatAnswers lets a server refuse some requests, and send answers a second time on connections that are in use again.
-func repeatAnswers(b *backend, duration time.Duration) error {
-	b.options.Answers.Repeat(true)
-	time.Sleep(duration)
-	b.options.Answers.Repeat(false)
-	return nil
-}
-
 // answerEndlessly lets a server answer with a reply that does not end, for some time.
 func answerEndlessly(set func(form int), form int, duration time.Duration) error {
 	set(form)
@@ -17,3 +9,11 @@
 	set(0)
 	return nil
 }
+
+// answerWrongly lets a server answer wrongly for some time.
+func answerWrongly(set func(on bool), duration time.Duration) error {
+	set(true)
+	time.Sleep(duration)
+	set(false)
+	return nil
+}
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -28,9 +28,12 @@
 	// requests that must be executed at most once goes there.
 	singlePath     = "/single/"
 	singleInterval = 6
-	// One in uploadInterval requests that must be executed at most once has a long body, of up to maxUploadBytes.
-	uploadInterval = 8
-	maxUploadBytes = 90_000
+	// One in uploadInterval requests that must be executed at most once has a long body, of up to maxUploadBytes. One in
+	// longUploadInterval of these has longUploadBytes.
+	uploadInterval     = 8
+	maxUploadBytes     = 90_000
+	longUploadInterval = 8
+	longUploadBytes    = 8 << 20
 )
 
 // counts is the number of requests of all clients by outcome.
@@ -113,10 +116,7 @@
 	gateway := c.gateways[c.gatewayIndex%len(c.gateways)]
 	baseURL := "http://" + gateway.clientAddr
 	if atMostOnce {
-		body := "order " + id
-		if c.random.IntN(uploadInterval) == 0 {
-			body += strings.Repeat(".", c.random.IntN(maxUploadBytes))
-		}
+		body := "order " + id + strings.Repeat(".", c.uploadBytes())
 		path := oncePath
 		if c.random.IntN(singleInterval) == 0 {
 			path = singlePath
@@ -141,6 +141,17 @@
 	return request, id, nil
 }
 
+// uploadBytes returns the length of the body of a request beyond its beginning.
+func (c *client) uploadBytes() int {
+	switch {
+	case c.random.IntN(uploadInterval) != 0:
+		return 0
+	case c.random.IntN(longUploadInterval) != 0:
+		return c.random.IntN(maxUploadBytes)
+	}
+	return longUploadBytes
+}
+
 func (c *client) setHeaders(request *http.Request, id string) {
 	request.Host = testHost
 	request.Header.Set(platform.HeaderRequestID, id)
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -54,7 +54,7 @@
 "rows":[["keyed","%s","%s","safe",1200,300,1,2,"keyed"],["once","%s","%s","unsafe",1200,300,0,2,"once"],
 ["single","%s","%s","unsafe",1200,300,0,2,"single"],["slow","%s","%s","safe",8000,1500,1,2,"slow"],["other","%s","%s","safe",1200,300,1,2,"empty"]]},
 "services":{"columns":["name","healthPath","maxConns","sharded"],"rows":[["keyed","/healthz",100,true],["once","/healthz",100,null],["single","/healthz",100,null],["slow","/healthz",100,null],["empty","/healthz",100,null]]},
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":9000000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
 
 // newDeployment starts a deployment that keeps settings and logs in a directory. The caller must close the deployment
 // that is returned, even on an error.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,9 +2,13 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/sapphireplank/sapphireplank/platform/standin"
 )
 
@@ -33,8 +37,20 @@
 	return low + time.Duration(random.Int64N(int64(high-low)))
 }
 
-// randomFault returns a random fault of a gateway, the store, a backend server or the configuration.
-func (d *deployment) randomFault(random *rand.Rand) fault {
+// randomFault returns a random fault of a gateway, the store, a backend server or the configuration, whose name contains part.
+func (d *deployment) randomFault(random *rand.Rand, part string) (fault, error) {
+	faults := slices.DeleteFunc(d.allFaults(random), func(f fault) bool { return !strings.Contains(f.name, part) })
+	if len(faults) == 0 {
+		return fault{}, errors.Wrapf(ErrUnknownFault, "%q", part)
+	}
+	return faults[random.IntN(len(faults))], nil
+}
+
+// ErrUnknownFault means that no fault has the name that was asked for.
+var ErrUnknownFault = errors.New("no fault has this in its name; see docs/notes/soak.md")
+
+// allFaults returns a fault of each kind, with a random component and length.
+func (d *deployment) allFaults(random *rand.Rand) []fault {
 	g := d.gateways[random.IntN(len(d.gateways))]
 	b := d.backends[random.IntN(len(d.backends))]
 	duration := randomDuration(random, minFaultDuration, maxFaultDuration)
@@ -45,7 +61,8 @@
 	retryAfter := randomDuration(random, minRetryAfter, maxRetryAfter)
 	lateness := randomDuration(random, minLateness, maxLateness)
 	form := 1 + random.IntN(standin.EndlessForms)
-	faults := []fault{
+	uploads := d.backends[keyedBackendCount+random.IntN(onceBackendCount)]
+	return []fault{
 		d.gatewayFault("process paused", g, func() error { return d.pauseGateway(g, duration) }),
 		d.gatewayFault("process killed", g, func() error { return g.restart(syscall.SIGKILL, restartDelay) }),
 		d.gatewayFault("process terminated", g, func() error { return g.restart(syscall.SIGTERM, restartDelay) }),
@@ -59,16 +76,17 @@
 		{"server limits its requests", serverID, func() error { return limitRequests(b, limit, duration) }},
 		{"server says that it leaves", serverID, func() error { return d.leave(b, duration, restartDelay) }},
 		{"server wants no requests", serverID, func() error { return d.turnAway(b, duration, retryAfter) }},
-		{"server repeats answers", d.single.options.ID, func() error { return repeatAnswers(d.single, duration) }},
+		{"server repeats answers", d.single.options.ID, func() error { return answerWrongly(d.single.options.Answers.Repeat, duration) }},
 		{"server answers orders without end", serverID, func() error { return answerEndlessly(b.options.Answers.AnswerOrders, form, duration) }},
 		{"server answers requests without end", serverID, func() error { return answerEndlessly(b.options.Answers.AnswerRequests, form, duration) }},
+		{"server sends malformed answers", serverID, func() error { return answerWrongly(b.options.Answers.AnswerMalformed, duration) }},
+		{"server cuts off answers to uploads", uploads.options.ID, func() error { return answerWrongly(uploads.options.Answers.CutUploads, duration) }},
 		{"server restarted, late entry", serverID, func() error { return d.restartWithLateEntry(b, restartDelay, lateness) }},
 		{"store restored", wholeDeployment, func() error { return d.restoreStore(duration/awayShare, age) }},
 		{"server restarted", serverID, func() error { return b.restart(restartDelay) }},
 		{"new configuration", wholeDeployment, d.publishConfig},
 		{"zone drained", wholeDeployment, func() error { return d.drainZone(b.options.Zone, duration) }},
 	}
-	return faults[random.IntN(len(faults))]
 }
 
 // gatewayFault returns a fault of a gateway. Until the gateway has recovered, its requests are left out of the check of
--- a/internal/soak/program.go
+++ b/internal/soak/program.go
@@ -21,6 +21,7 @@
 	Seed     uint64        `long:"seed" value-name:"N" default:"1" description:"first seed"`
 	Seeds    uint64        `long:"seeds" value-name:"N" default:"1" description:"number of seeds, run one after another"`
 	Duration time.Duration `long:"length" value-name:"TIME" default:"20s" description:"how long faults are injected for each seed"`
+	Faults   string        `long:"faults" value-name:"TEXT" description:"inject only faults whose names contain this"`
 	Version  bool          `long:"version" description:"print the version and exit"`
 }
 
@@ -46,7 +47,7 @@
 	if err != nil {
 		return errors.Wrap(err, "create the log directory")
 	}
-	err = Run(Options{Program: options.Program, Directory: directory, Seed: seed, Duration: options.Duration, Output: out})
+	err = Run(Options{Program: options.Program, Directory: directory, Seed: seed, Duration: options.Duration, Faults: options.Faults, Output: out})
 	if err != nil {
 		return errors.Wrapf(err, "seed %d, logs in %s", seed, directory)
 	}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -9,8 +9,13 @@
 	"github.com/cockroachdb/errors"
 )
 
-// queueLength is the number of reads that a proxy buffers in each direction of a connection.
-const queueLength = 4096
+const (
+	// queueLength is the number of reads that a proxy buffers in each direction of a connection.
+	queueLength = 64
+	// bufferBytes is the size of the system's buffers for each direction of a connection. It is small, so that a long request is
+	// still being written when its server resets the connection.
+	bufferBytes = 64 << 10
+)
 
 // Proxy is a TCP proxy with fault injection. It is safe for concurrent use.
 type Proxy struct {
@@ -142,9 +147,14 @@
 		return
 	}
 	defer p.untrack(downstream, upstream)
+	gatewayEnd, gatewayErr := newProxyEnd(downstream)
+	serverEnd, serverErr := newProxyEnd(upstream)
+	if gatewayErr != nil || serverErr != nil {
+		return
+	}
 	var copies sync.WaitGroup
-	copies.Go(func() { p.copyData(downstream, upstream) })
-	copies.Go(func() { p.copyData(upstream, downstream) })
+	copies.Go(func() { p.copyData(gatewayEnd, serverEnd) })
+	copies.Go(func() { p.copyData(serverEnd, gatewayEnd) })
 	copies.Wait()
 }
 
@@ -172,7 +182,7 @@
 }
 
 // copyData copies one direction of a connection until the sender closes it.
-func (p *Proxy) copyData(from, to *net.TCPConn) {
+func (p *Proxy) copyData(from, to proxyEnd) {
 	queue := make(chan []byte, queueLength)
 	senderReset := make(chan struct{})
 	var writer sync.WaitGroup
@@ -186,10 +196,10 @@
 		if err == nil {
 			continue
 		}
-		if !errors.Is(err, io.EOF) {
+		if !errors.Is(err, io.EOF) || from.writer.SawReset() {
 			// The sender has reset the connection, so the buffered data is discarded.
 			close(senderReset)
-			reset(to)
+			reset(to.TCPConn)
 		}
 		close(queue)
 		writer.Wait()
@@ -198,7 +208,7 @@
 }
 
 // writeQueued writes the queued data to a connection, subject to the current stall and delay.
-func (p *Proxy) writeQueued(to *net.TCPConn, queue <-chan []byte, senderReset <-chan struct{}) {
+func (p *Proxy) writeQueued(to proxyEnd, queue <-chan []byte, senderReset <-chan struct{}) {
 	for data := range queue {
 		p.mu.Lock()
 		resumed, delay := p.resumed, p.delay
@@ -209,7 +219,7 @@
 			return
 		}
 		time.Sleep(delay)
-		if _, err := to.Write(data); err != nil {
+		if _, err := to.writer.Write(data); err != nil {
 			break
 		}
 	}
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -102,3 +102,25 @@
 		t.Fatal("a new connection was not reset")
 	}
 }
+
+// Guards against a reset that the proxy passes on as an ordinary end, because it met the reset while it forwarded data to the
+// connection that was reset.
+func TestResetWhileForwarding(t *testing.T) {
+	for range 20 {
+		proxy, accepted := startProxy(t)
+		conn := connect(t, proxy)
+		server := <-accepted
+		end, err := newProxyEnd(conn)
+		if err != nil {
+			t.Fatal(err)
+		}
+		go end.writer.Write(make([]byte, 8<<20))
+		if _, err := io.ReadFull(server, make([]byte, 16)); err != nil {
+			t.Fatal(err)
+		}
+		reset(server)
+		if _, err := io.Copy(io.Discard, conn); err == nil && !end.writer.SawReset() {
+			t.Fatal("the connection ended in an ordinary way")
+		}
+	}
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -24,6 +24,8 @@
 	Seed uint64
 	// Duration is how long faults are injected.
 	Duration time.Duration
+	// Faults is a part of the names of the faults that are injected. If it is empty, all are.
+	Faults string
 	// Output receives a line for each fault, and the result.
 	Output io.Writer
 }
@@ -99,8 +101,11 @@
 	var faults sync.WaitGroup
 	locks := newTargetLocks()
 	for time.Since(runStart) < options.Duration {
+		f, err := d.randomFault(random, options.Faults)
+		if err != nil {
+			return err
+		}
 		semaphore <- struct{}{}
-		f := d.randomFault(random)
 		faults.Go(func() {
 			defer func() { <-semaphore }()
 			if !locks.tryLock(f.target) {
