--- a/internal/httpcheck/field.go
+++ b/internal/httpcheck/field.go
@@ -9,11 +9,11 @@
 func Fields(header http.Header) error {
 	for name, values := range header {
 		if !isToken(name) {
-			return malformedLine("name of a field", name)
+			return malformed("name of a field", name)
 		}
 		for _, value := range values {
 			if strings.ContainsFunc(value, isControl) {
-				return malformedLine("value of the field "+name, value)
+				return malformed("control byte in the value of field", name)
 			}
 		}
 	}
--- a/internal/httpcheck/head.go
+++ b/internal/httpcheck/head.go
@@ -51,7 +51,7 @@
 func (h *Head) fieldLine(line string) error {
 	name, value, _ := strings.Cut(line, ":")
 	if !isToken(name) {
-		return malformedLine("field line", line)
+		return malformed("name of a field", name)
 	}
 	switch strings.ToLower(name) {
 	case fieldContentLength:
@@ -90,7 +90,7 @@
 	name, _, _ := strings.Cut(line, ":")
 	switch strings.ToLower(strings.Trim(name, " \t")) {
 	case fieldContentLength, fieldTransferEncoding:
-		return malformedLine("continuation line", line)
+		return malformed("continuation line with the name of a field", name)
 	}
 	return nil
 }
--- a/internal/httpcheck/statusline.go
+++ b/internal/httpcheck/statusline.go
@@ -15,15 +15,15 @@
 	version, rest, _ := strings.Cut(line, " ")
 	minor, ok := strings.CutPrefix(version, protocolPrefix)
 	if !ok || len(minor) != 1 || minor < "0" || minor > "9" {
-		return 0, malformedLine("protocol in the status line", line)
+		return 0, malformed("protocol in the status line", line)
 	}
 	text, reason, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
 	status, err := strconv.Atoi(text)
 	if err != nil || !httpstatus.IsFinal(status) && !httpstatus.IsInterim(status) {
-		return 0, malformedLine("status in the status line", line)
+		return 0, malformed("status in the status line", line)
 	}
 	if strings.ContainsFunc(reason, isControl) {
-		return 0, malformedLine("reason in the status line", line)
+		return 0, malformed("reason in the status line", line)
 	}
 	return status, nil
 }
--- a/internal/serverconn/errors.go
+++ b/internal/serverconn/errors.go
@@ -2,6 +2,11 @@
 
 import "github.com/cockroachdb/errors"
 
+// invalidResponse returns an ErrInvalidResponse whose message has the cause.
+func invalidResponse(cause error) error {
+	return errors.Mark(errors.Wrap(cause, ErrInvalidResponse.Error()), ErrInvalidResponse)
+}
+
 // Errors returned by Pool.Do. After any of them except ErrNotSent the backend server may have executed the request.
 var (
 	// ErrNotSent means that no byte of the request was sent. The request may be sent to another backend server.
--- a/internal/serverconn/fuzz_test.go
+++ b/internal/serverconn/fuzz_test.go
@@ -5,12 +5,16 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
+
+	"github.com/sapphireplank/sapphireplank/internal/malformed"
 )
 
 // FuzzResponse guards against bytes of a backend server that make the reader panic or hang, or that are taken for the
-// response to another request.
+// response to another request or have names of fields that are none.
 func FuzzResponse(f *testing.F) {
 	for _, response := range []string{
 		"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok",
@@ -23,6 +27,9 @@
 	} {
 		f.Add([]byte(response))
 	}
+	for _, reply := range slices.Concat(malformed.Replies("Id: a\r\n", "ok"), malformed.Unusual("Id: a\r\n", "ok")) {
+		f.Add([]byte(reply.Text))
+	}
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		f.Fatal(err)
@@ -52,8 +59,23 @@
 		if err == nil && response.Metadata.ID != "a" && response.Metadata.ID != "" {
 			t.Fatalf("response to request %q", response.Metadata.ID)
 		}
+		if err == nil {
+			checkFields(t, response.Header)
+		}
 		if ctx.Err() != nil {
 			t.Fatal("the reader waits although the server has closed the connection")
 		}
 	})
 }
+
+// checkFields checks that no name or value of a field holds what could be read as the end of it.
+func checkFields(t *testing.T, header http.Header) {
+	for name, values := range header {
+		if name == "" || strings.ContainsFunc(name, func(c rune) bool { return c <= ' ' || c == ':' || c >= 0x7f }) {
+			t.Fatalf("field with the name %q", name)
+		}
+		if strings.ContainsAny(strings.Join(values, ""), "\r\n\x00") {
+			t.Fatalf("field %s with the values %q", name, values)
+		}
+	}
+}
--- a/internal/serverconn/head.go
+++ b/internal/serverconn/head.go
@@ -27,7 +27,7 @@
 		checked += len(line)
 		ended, err := head.Line(strings.TrimSuffix(strings.TrimSuffix(string(line), "\n"), "\r"))
 		if err != nil {
-			return nil, errors.WithSecondaryError(ErrInvalidResponse, err)
+			return nil, invalidResponse(err)
 		}
 		if ended {
 			return head, nil
--- a/internal/serverconn/read.go
+++ b/internal/serverconn/read.go
@@ -74,7 +74,7 @@
 	body, err := readBody(request, response.Body, limit+1)
 	switch {
 	case errors.Is(err, bytebudget.ErrExhausted):
-		return nil, errors.WithSecondaryError(ErrInvalidResponse, err)
+		return nil, invalidResponse(err)
 	case err != nil:
 		return nil, connectionError(err)
 	case int64(len(body)) > limit:
@@ -86,7 +86,7 @@
 	}
 	err = errors.CombineErrors(head.CheckLength(len(body)), httpcheck.Fields(response.Trailer))
 	if err != nil {
-		return nil, errors.WithSecondaryError(ErrInvalidResponse, err)
+		return nil, invalidResponse(err)
 	}
 	return body, nil
 }
@@ -105,7 +105,7 @@
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) {
 		return connectionError(err)
 	}
-	return errors.WithSecondaryError(ErrInvalidResponse, err)
+	return invalidResponse(err)
 }
 
 func connectionError(err error) error {
