--- a/internal/httpcheck/conn.go
+++ b/internal/httpcheck/conn.go
@@ -1,8 +1,8 @@
 package httpcheck
 
 import (
+	"bytes"
 	"net"
-	"strings"
 	"sync"
 	"syscall"
 
@@ -14,6 +14,9 @@
 // maxLineBytes limits a line of a head.
 const maxLineBytes = 64 << 10
 
+// carriageReturn may stand before the line feed that ends a line.
+var carriageReturn = []byte("\r")
+
 // Conn is a connection whose reader parses responses by net/http. It checks their heads before net/http sees them.
 type Conn struct {
 	net.Conn
@@ -105,7 +108,7 @@
 
 // endLine checks a line that has arrived. The caller must hold mu.
 func (c *Conn) endLine() error {
-	ended, err := c.head.Line(strings.TrimSuffix(string(c.line), "\r"))
+	ended, err := c.head.Line(bytes.TrimSuffix(c.line, carriageReturn))
 	c.line = c.line[:0]
 	switch {
 	case err != nil:
--- a/internal/httpcheck/errors.go
+++ b/internal/httpcheck/errors.go
@@ -9,6 +9,6 @@
 const maxQuotedBytes = 80
 
 // malformed returns an error that quotes a part of a response. It quotes no values of fields, which may be confidential.
-func malformed(what, part string) error {
+func malformed[T string | []byte](what string, part T) error {
 	return errors.Wrapf(ErrMalformed, "%s %q", what, part[:min(len(part), maxQuotedBytes)])
 }
--- a/internal/httpcheck/field.go
+++ b/internal/httpcheck/field.go
@@ -23,17 +23,20 @@
 // isControl reports whether a character must not stand in a value or a reason.
 func isControl(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f }
 
-// tokenSymbols are the characters of a token besides letters and digits.
-const tokenSymbols = "!#$%&'*+-.^_`|~"
-
 // isToken reports whether text can be the name of a field.
-func isToken(text string) bool {
-	for _, c := range []byte(text) {
-		letter := 'a' <= c|0x20 && c|0x20 <= 'z'
-		digit := '0' <= c && c <= '9'
-		if !letter && !digit && strings.IndexByte(tokenSymbols, c) < 0 {
+func isToken[T string | []byte](text T) bool {
+	for i := range len(text) {
+		if !tokenCharacters[text[i]] {
 			return false
 		}
 	}
-	return text != ""
+	return len(text) > 0
 }
+
+// tokenCharacters has the characters of a token.
+var tokenCharacters = func() (characters [256]bool) {
+	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
+		characters[c] = true
+	}
+	return characters
+}()
--- a/internal/netwrite/writer.go
+++ b/internal/netwrite/writer.go
@@ -12,9 +12,13 @@
 
 // Writer writes to a connection while another goroutine reads from it, and records how the connection ended. The kernel reports a
 // reset only to the first call that meets it. If that is a write, the reader sees an ordinary end, and would take a response
-// for complete that ends with its connection.
+// for complete that ends with its connection. One goroutine may write at a time.
 type Writer struct {
 	raw syscall.RawConn
+	// tryWrite is the method of this name.
+	tryWrite func(fd uintptr) (done bool)
+	// rest is what remains to be written.
+	rest []byte
 
 	// mu protects failure. It is held during each system call, so that a reader that has seen the end of the connection
 	// also sees the failure that came before.
@@ -24,49 +28,51 @@
 }
 
 // NewWriter returns a writer to a connection. All writes to that connection must go through it.
-func NewWriter(raw syscall.RawConn) *Writer { return &Writer{raw: raw} }
+func NewWriter(raw syscall.RawConn) *Writer {
+	w := &Writer{raw: raw}
+	w.tryWrite = w.writeOnce
+	return w
+}
 
 // Write implements io.Writer.
 func (w *Writer) Write(content []byte) (int, error) {
-	written := 0
-	for written < len(content) {
-		n, err := w.writeOnce(content[written:])
-		written += n
-		if err != nil {
-			return written, err
+	w.rest = content
+	for len(w.rest) > 0 {
+		if err := w.writeRest(); err != nil {
+			return len(content) - len(w.rest), err
 		}
 	}
-	return written, nil
+	return len(content), nil
 }
 
-// writeOnce writes a part of the content as soon as the connection takes it.
-func (w *Writer) writeOnce(content []byte) (int, error) {
-	var n int
-	var failure error
-	err := w.raw.Write(func(fd uintptr) (done bool) {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		n, failure = writeWithoutInterrupt(int(fd), content)
-		if errors.Is(failure, unix.EAGAIN) {
-			return false
-		}
-		w.failure = failure
-		return true
-	})
-	if err != nil {
-		return 0, err
+// writeRest writes a part of the rest as soon as the connection takes it.
+func (w *Writer) writeRest() error {
+	if err := w.raw.Write(w.tryWrite); err != nil {
+		return err
 	}
-	if failure != nil {
-		return 0, os.NewSyscallError("write", failure)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return os.NewSyscallError("write", w.failure)
+}
+
+// writeOnce makes one system call. It reports false if the connection takes nothing at the moment.
+func (w *Writer) writeOnce(fd uintptr) (done bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n, err := writeWithoutInterrupt(int(fd), w.rest)
+	if err == unix.EAGAIN {
+		return false
 	}
-	return n, nil
+	w.failure = err
+	w.rest = w.rest[max(n, 0):]
+	return true
 }
 
 // writeWithoutInterrupt repeats a write that a signal interrupted.
 func writeWithoutInterrupt(fd int, content []byte) (int, error) {
 	for {
 		n, err := unix.Write(fd, content)
-		if !errors.Is(err, unix.EINTR) {
+		if err != unix.EINTR {
 			return n, err
 		}
 	}
--- a/internal/serverconn/head.go
+++ b/internal/serverconn/head.go
@@ -4,13 +4,15 @@
 	"bufio"
 	"bytes"
 	"io"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/sapphireplank/sapphireplank/internal/httpcheck"
 )
 
+// The characters that end a line. The first one may be missing.
+var carriageReturn, lineFeed = []byte("\r"), []byte("\n")
+
 // errHeadTooLong means that the head of a response does not end within maxHeaderBytes.
 var errHeadTooLong = errors.New("head of the response is too long; send shorter fields")
 
@@ -25,7 +27,7 @@
 			return nil, readError(err)
 		}
 		checked += len(line)
-		ended, err := head.Line(strings.TrimSuffix(strings.TrimSuffix(string(line), "\n"), "\r"))
+		ended, err := head.Line(bytes.TrimSuffix(bytes.TrimSuffix(line, lineFeed), carriageReturn))
 		if err != nil {
 			return nil, invalidResponse(err)
 		}
