--- a/internal/serverconn/read.go
+++ b/internal/serverconn/read.go
@@ -105,7 +105,8 @@
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) {
 		return connectionError(err)
 	}
-	return invalidResponse(err)
+	// The message may quote the value of a field, which may be confidential.
+	return errors.WithSecondaryError(ErrInvalidResponse, err)
 }
 
 func connectionError(err error) error {
