--- a/internal/malformed/malformed.go
+++ b/internal/malformed/malformed.go
@@ -44,6 +44,7 @@
 	return slices.Concat(a.statusCodes(), a.statusLines(), a.fieldNames(), a.fieldValues(), a.misreadLengths(), a.lengths(), a.codings(), a.chunks(), a.trailers())
 }
 
+// statusCodes returns answers whose status no exchange has.
 func (a answer) statusCodes() []Reply {
 	var replies []Reply
 	for _, code := range []string{"000", "001", "020", "099", "101", "600", "999", "20", "2000", "+20", "-20", "2x0", ""} {
