netwrite: write by package syscall

Cause: the detector relates a read of a connection to a write by package syscall, and so saw the request between the two. Package unix, which the new writer used, has a mark of its own. No access was concurrent.

--- a/internal/netwrite/writer.go
+++ b/internal/netwrite/writer.go
@@ -7,7 +7,6 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 )
 
 // Writer writes to a connection while another goroutine reads from it, and records how the connection ended. The kernel reports a
@@ -60,7 +59,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n, err := writeWithoutInterrupt(int(fd), w.rest)
-	if err == unix.EAGAIN {
+	if err == syscall.EAGAIN {
 		return false
 	}
 	w.failure = err
@@ -68,11 +67,12 @@
 	return true
 }
 
-// writeWithoutInterrupt repeats a write that a signal interrupted.
+// writeWithoutInterrupt repeats a write that a signal interrupted. The race detector relates reads of net.Conn to writes of package
+// syscall, but not to those of package unix.
 func writeWithoutInterrupt(fd int, content []byte) (int, error) {
 	for {
-		n, err := unix.Write(fd, content)
-		if err != unix.EINTR {
+		n, err := syscall.Write(fd, content)
+		if err != syscall.EINTR {
 			return n, err
 		}
 	}
@@ -83,5 +83,5 @@
 func (w *Writer) SawReset() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.failure != nil && !errors.Is(w.failure, unix.EPIPE)
+	return w.failure != nil && !errors.Is(w.failure, syscall.EPIPE)
 }
