entry: return an early rejection while the client pauses

Callers saw: a backend server rejects a long request before it has read the body, and the client sends nothing for a while, for instance because it waits for a response. The rejection reached it only once it sent more, or at the time limit of the body (20 s).

Cause: after the rejection the forwarder asks whether a part of the body has been read that is not held. The answer stood behind the mutex that a pending read of the body holds.

Evidence: TestRejectionWhileClientPauses failed before in 3 of 3 runs (no response within 10 s), and passes in 5 of 5 with the race detector.

Fix: whether a read has begun is an atomic flag, which is set before the read and needs no mutex.

--- a/internal/entry/bodystream.go
+++ b/internal/entry/bodystream.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -23,9 +24,11 @@
 	// ended is closed when no more is read: at the end of the body, after an error or when the stream is abandoned.
 	ended chan struct{}
 
+	// started is set once a read has begun. It is not protected by mu, so that it can be examined while a read is pending.
+	started atomic.Bool
+
 	// mu protects the fields below. It is held while a read is pending.
 	mu       sync.Mutex
-	started  bool
 	complete bool
 	err      error
 }
@@ -41,7 +44,7 @@
 	if s.err != nil {
 		return 0, s.err
 	}
-	s.started = true
+	s.started.Store(true)
 	n, err := s.body.Read(buffer)
 	s.left -= int64(n)
 	if s.left < 0 {
@@ -89,10 +92,5 @@
 
 // bodyIsGone reports whether a part of the body has been read that is not held, so that the request cannot be sent again.
 func (r *request) bodyIsGone() bool {
-	if r.rest == nil {
-		return false
-	}
-	r.rest.mu.Lock()
-	defer r.rest.mu.Unlock()
-	return r.rest.started
+	return r.rest != nil && r.rest.started.Load()
 }
