serverconn: keep no connections in a test whose server ends them

Cause: the server ends each connection after its response, and the second request of a case was sent over the first one's connection if the end had not arrived yet. The checks are unchanged: each response still arrives in one piece and byte by byte.

--- a/internal/serverconn/malformed_test.go
+++ b/internal/serverconn/malformed_test.go
@@ -58,7 +58,8 @@
 	for _, reply := range malformed.Unusual("Id: a\r\n", "hello, world") {
 		t.Run(reply.Name, func(t *testing.T) {
 			t.Parallel()
-			pool, _ := startServer(t, replyAndEnd(reply.Text), replyByBytes(reply.Text))
+			// The server ends each connection after its response, so none is kept.
+			pool, _ := startServerWith(t, Settings{MaxResponseBodyBytes: 1 << 20}, replyAndEnd(reply.Text), replyByBytes(reply.Text))
 			checkUnusual(t, pool)
 			checkUnusual(t, pool)
 		})
