entry: let one attempt only read the rest of a body

Cause: the part of a body beyond body_buffer_kb can be read once, but an attempt whose rejection came while it still wrote the held part kept the reader that the next attempt got too. Once its server read on, both read from one stream, and the stream's end was the end of the body for both.

Fix: each attempt has a reader of its own, and one may read. A request is sent again only after its body has been reclaimed from the last attempt, whose reader then fails, which ends its connection. If that one has begun to read, the request is not sent again. A later reader of a body that was begun fails instead of meeting its end.

--- a/internal/entry/bodystream.go
+++ b/internal/entry/bodystream.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"sync"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -14,8 +13,8 @@
 	errBodyAbandoned = errors.New("request was answered before its body had arrived")
 )
 
-// bodyStream is the rest of a request body that is forwarded while it arrives. It can be read only once, so the request
-// cannot be sent again after the first byte of it was read.
+// bodyStream is the rest of a request body that is forwarded while it arrives. It can be read only once, and by one attempt: the
+// request cannot be sent again after an attempt has begun to read it.
 type bodyStream struct {
 	conn *clientConn
 	body io.Reader
@@ -24,8 +23,7 @@
 	// ended is closed when no more is read: at the end of the body, after an error or when the stream is abandoned.
 	ended chan struct{}
 
-	// started is set once a read has begun. It is not protected by mu, so that it can be examined while a read is pending.
-	started atomic.Bool
+	readers readerSlot
 
 	// mu protects the fields below. It is held while a read is pending.
 	mu       sync.Mutex
@@ -37,14 +35,20 @@
 	return &bodyStream{conn: conn, body: body, left: limit, ended: make(chan struct{})}
 }
 
-// Read implements io.Reader.
-func (s *bodyStream) Read(buffer []byte) (int, error) {
+// newReader returns the reader of the next attempt. It cannot read if an earlier one has begun to.
+func (s *bodyStream) newReader() *bodyReader {
+	r := &bodyReader{stream: s}
+	s.readers.assign(r)
+	return r
+}
+
+// read reads the next part of the body. Only one goroutine may call it.
+func (s *bodyStream) read(buffer []byte) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.err != nil {
 		return 0, s.err
 	}
-	s.started.Store(true)
 	n, err := s.body.Read(buffer)
 	s.left -= int64(n)
 	if s.left < 0 {
@@ -90,7 +94,6 @@
 	return r.rest.complete
 }
 
-// bodyIsGone reports whether a part of the body has been read that is not held, so that the request cannot be sent again.
-func (r *request) bodyIsGone() bool {
-	return r.rest != nil && r.rest.started.Load()
-}
+// reclaimBody takes the body back from the last attempt, which may still be writing it. It returns false if a part has been read that
+// is not held, so that the request cannot be sent again.
+func (r *request) reclaimBody() bool { return r.rest == nil || r.rest.readers.reclaim() }
--- a/internal/entry/earlyrejection_test.go
+++ b/internal/entry/earlyrejection_test.go
@@ -15,7 +15,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// rejector is a backend server that rejects a request before it has read the whole body, and then reads on.
+// rejector is a backend server that rejects the first request before it has read the whole body, and then reads on. It accepts the
+// second one, which must come over another connection.
 type rejector struct {
 	backend
 	status int
@@ -27,6 +28,9 @@
 	heldPart chan struct{}
 	// body receives what was read of the body, once that has ended.
 	body chan []byte
+	// again is closed when the second request arrives, and accepted receives its body, if it is complete.
+	again    chan struct{}
+	accepted chan []byte
 }
 
 // newRejector starts a server whose connections have small buffers, so that a sender waits for it to read on.
@@ -41,14 +45,22 @@
 	s := &rejector{
 		backend: backend{addr: listener.Addr().String()}, status: status, readFirst: readFirst,
 		readOn: make(chan struct{}), heldPart: make(chan struct{}), body: make(chan []byte, 1),
+		again: make(chan struct{}), accepted: make(chan []byte, 1),
 	}
 	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
+		for _, serve := range []func(net.Conn, *http.Request){s.reject, s.accept} {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			request, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				return
+			}
+			go serve(conn, request)
 		}
-		defer conn.Close()
-		s.reject(conn)
+		<-t.Context().Done()
 	}()
 	return s
 }
@@ -67,12 +79,7 @@
 	return failed
 }
 
-func (s *rejector) reject(conn net.Conn) {
-	request, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	s.arrivals.Add(1)
+func (s *rejector) reject(conn net.Conn, request *http.Request) {
 	var body bytes.Buffer
 	// An error shows in what was read.
 	_, _ = io.CopyN(&body, request.Body, s.readFirst)
@@ -84,6 +91,26 @@
 	s.body <- body.Bytes()
 }
 
+func (s *rejector) accept(conn net.Conn, request *http.Request) {
+	close(s.again)
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		body = nil
+	}
+	s.accepted <- body
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSign: 1\r\nContent-Length: 2\r\n\r\nok", request.Header.Get("Id"))
+}
+
+// sendPart sends a part of a body.
+func (c *client) sendPart(part []byte, chunked bool) {
+	if chunked {
+		c.sendChunks(part)
+		return
+	}
+	// An error shows in the response.
+	_, _ = c.conn.Write(part)
+}
+
 // earlyHeldBytes is the length up to which bodies are held in these tests. It is far more than the connections buffer.
 const earlyHeldBytes = 512 << 10
 
@@ -110,3 +137,41 @@
 		t.Errorf("the server got %d bytes, want the %d that were sent", len(got), 2*heldBodyBytes)
 	}
 }
+
+// Guards against a long body of which two attempts read parts, so that the second server runs the request with a part of its body
+// missing, and the first one gets bytes that do not follow each other.
+func TestRejectedUploadIsNotDivided(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusMisdirectedRequest} {
+		for name, chunked := range map[string]bool{"length": false, "chunked": true} {
+			t.Run(fmt.Sprint(status, " ", name), func(t *testing.T) { rejectedUpload(t, status, chunked) })
+		}
+	}
+}
+
+func rejectedUpload(t *testing.T, status int, chunked bool) {
+	s := newRejector(t, status, 0)
+	f := newFixture(t, &s.backend)
+	f.server.heldBodyBytes = earlyHeldBytes
+	conn := f.dial(t)
+	body := uploadBody()[:2*earlyHeldBytes]
+	begin := earlyHeldBytes + 1
+	conn.beginUpload("/order/x", map[bool]int{true: -1, false: len(body)}[chunked])
+	conn.sendPart(body[:begin], chunked)
+	<-s.again
+	close(s.readOn)
+	<-s.heldPart
+	conn.sendPart(body[begin:], chunked)
+	if chunked {
+		io.WriteString(conn.conn, "0\r\n\r\n")
+	}
+	if response, text := conn.receive(); response.StatusCode != http.StatusOK || text != "ok" {
+		t.Errorf("status %d, body %q", response.StatusCode, text)
+	}
+	if got := <-s.accepted; !bytes.Equal(got, body) {
+		t.Errorf("the second attempt has %d bytes of body, want the %d that were sent", len(got), len(body))
+	}
+	if got := <-s.body; !bytes.HasPrefix(body, got) {
+		t.Errorf("the first attempt has %d bytes that are not the beginning of the body", len(got))
+	}
+	f.awaitReleased()
+}
--- a/internal/entry/forwarder.go
+++ b/internal/entry/forwarder.go
@@ -148,7 +148,7 @@
 		Used:       f.usedConns,
 	}
 	if f.request.rest != nil {
-		request.Rest, request.Length = f.request.rest, r.ContentLength
+		request.Rest, request.Length = f.request.rest.newReader(), r.ContentLength
 	}
 	return request
 }
@@ -209,7 +209,7 @@
 	case resultResponse:
 		return f.backendResponse()
 	case resultNotSent:
-		if f.unsent < maxUnsent && f.canSendAgain() {
+		if f.unsent < maxUnsent && f.prepareAttempt() {
 			return nil
 		}
 	case resultNotExecuted:
@@ -224,12 +224,15 @@
 	return f.finalResponse()
 }
 
-// canSendAgain reports whether there is time for another attempt and the whole body is still held.
-func (f *forwarder) canSendAgain() bool { return f.timeLeft() > minTimeLeft && !f.request.bodyIsGone() }
+// prepareAttempt reports whether there is time for another attempt and the whole body is left for it. If so, the last attempt cannot
+// read the body any more.
+func (f *forwarder) prepareAttempt() bool {
+	return f.timeLeft() > minTimeLeft && f.request.reclaimBody()
+}
 
 // allowRetry reports whether another attempt is within the limits and the retry budget. If so, the budget counts it.
 func (f *forwarder) allowRetry() bool {
-	if f.sends >= f.route.MaxAttempts || !f.canSendAgain() {
+	if f.sends >= f.route.MaxAttempts || !f.prepareAttempt() {
 		return false
 	}
 	if f.retryGranted {
