entry: log how much of a long body an attempt has read

A line "send ended" did not tell whether a rejected request was sent again because its whole body was held, or not because a part had been read. It has the field rest_read now, in bytes, if the body is longer than what is held.

--- a/internal/entry/bodystream.go
+++ b/internal/entry/bodystream.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -24,6 +25,8 @@
 	ended chan struct{}
 
 	readers readerSlot
+	// taken is the number of bytes that have been read.
+	taken atomic.Int64
 
 	// mu protects the fields below. It is held while a read is pending.
 	mu       sync.Mutex
@@ -50,6 +53,7 @@
 		return 0, s.err
 	}
 	n, err := s.body.Read(buffer)
+	s.taken.Add(int64(n))
 	s.left -= int64(n)
 	if s.left < 0 {
 		n, err = 0, errBodyTooLong
--- a/internal/entry/decisionlog.go
+++ b/internal/entry/decisionlog.go
@@ -24,6 +24,8 @@
 	response    *serverconn.Response
 	err         error
 	duration    time.Duration
+	// restRead is the number of bytes that were read by then of the part of the body that is not held.
+	restRead int64
 	// refusal is the reason why no backend server was assigned to the request.
 	refusal *dispatch.Refusal
 }
@@ -47,6 +49,9 @@
 func (f *forwarder) record(d decision) {
 	d.at = f.handler.Clock()
 	d.timeLeft = f.acquireRequest.Deadline - d.at
+	if f.request.rest != nil {
+		d.restRead = f.request.rest.taken.Load()
+	}
 	f.log.decisions = append(f.log.decisions, d)
 }
 
@@ -113,6 +118,9 @@
 			d.reservation.OwnRequests, d.reservation.PeerRequests, d.reservation.PeerRequestsAge
 	case decisionSent:
 		fields["server"], fields["verdict"], fields["took"] = d.reservation.Server.ID, d.result, d.duration
+		if f.request.rest != nil {
+			fields["rest_read"] = d.restRead
+		}
 		if d.response != nil {
 			fields["status"] = d.response.Status
 		}
