entry, outcome: return no promise that a server does not state

Cause: the attempt was classified as one that may have run, but the response went to the client with whatever status the server chose. 408, 421 and 429 without the statement counted as responses to return in any case.

In place of one that it rejects the client gets a 502 of the gateway's own: a problem document that names the server's status, without its Response-Seal and Retry-After. Such a response is a failed attempt, so an idempotent request is sent again. plank_entry_replaced_responses_total counts them.

--- a/internal/entry/attemptresult.go
+++ b/internal/entry/attemptresult.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/sapphireplank/sapphireplank/internal/outcome"
 	"github.com/sapphireplank/sapphireplank/internal/serverconn"
 	"github.com/sapphireplank/sapphireplank/internal/suspicion"
 )
@@ -19,7 +20,8 @@
 	resultNotSent
 	// resultNotExecuted means that the backend server stated that it did not execute the request and never will.
 	resultNotExecuted
-	// resultFailed is a 5xx response of the backend server. The request was executed.
+	// resultFailed is a response by which the backend server fails the request without stating that it did not execute it: a 5xx
+	// response, or one whose status promises that. The request was executed, or may have been.
 	resultFailed
 	// resultTimeout means that no response arrived in time. The request may have been executed.
 	resultTimeout
@@ -49,7 +51,7 @@
 		return resultNotExecuted
 	case response.Status < http.StatusMultipleChoices && !response.Metadata.Signed:
 		return resultUnknown
-	case response.Status >= http.StatusInternalServerError:
+	case response.Status >= http.StatusInternalServerError || outcome.PromisesNotExecuted(response.Status):
 		return resultFailed
 	default:
 		return resultResponse
--- a/internal/entry/forwarder.go
+++ b/internal/entry/forwarder.go
@@ -63,7 +63,7 @@
 // run forwards the request and logs the decisions about it.
 func (f *forwarder) run(ctx context.Context) *response {
 	f.record(decision{message: decisionRouted})
-	resp := f.respond(ctx)
+	resp := f.truthful(f.respond(ctx))
 	f.finish(resp)
 	return resp
 }
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -15,6 +16,7 @@
 	labelOutcome = "outcome"
 	labelReason  = "reason"
 	labelResult  = "result"
+	labelStatus  = "status"
 )
 
 // durationBuckets are upper bounds in seconds, ranging from the latency of a local hop to the longest timeout.
@@ -28,6 +30,7 @@
 	queueWaits      prometheus.Histogram
 	refusals        *prometheus.CounterVec
 	sends           *prometheus.CounterVec
+	replaced        *prometheus.CounterVec
 	retries         *prometheus.CounterVec
 	storeCalls      *prometheus.CounterVec
 	orders          *prometheus.CounterVec
@@ -59,6 +62,7 @@
 		queueWaits:      prometheus.NewHistogram(prometheus.HistogramOpts{Name: "plank_entry_wait_seconds", Help: "Time that a request waited for a backend server with room.", Buckets: durationBuckets}),
 		refusals:        newCounterVec("plank_entry_refusals_total", "Requests refused before they were sent, by reason.", labelReason),
 		sends:           newCounterVec("plank_entry_sends_total", "Sends to backend servers, by what they came to.", labelOutcome),
+		replaced:        newCounterVec("plank_entry_replaced_responses_total", "Responses of backend servers that were replaced because they promise that a request was not executed although it may have been, by their status.", labelStatus),
 		retries:         newCounterVec("plank_entry_retries_total", "Retries that were asked of the retry budget, by whether they were within it.", labelResult),
 		storeCalls:      newCounterVec("plank_store_calls_total", "Calls of the platform's store. A waiting watch is one call.", labelKind, labelResult),
 		orders:          newCounterVec("plank_orders_total", "Grants and releases sent to backend servers.", labelKind, labelResult),
@@ -80,7 +84,7 @@
 		storeContactAge: newGauge("plank_store_contact_age_seconds", "Time since what the store holds was last confirmed, by the store or the elected gateway."),
 		dropped:         newCounter("plank_log_lines_dropped_total", "Log lines that were dropped because the output was slow or the rate was exceeded."),
 	}
-	m.registry.MustRegister(m.requests, m.durations, m.queueWaits, m.refusals, m.sends, m.retries, m.storeCalls, m.orders,
+	m.registry.MustRegister(m.requests, m.durations, m.queueWaits, m.refusals, m.sends, m.replaced, m.retries, m.storeCalls, m.orders,
 		m.movedKeys, m.elected, m.storeEra, m.version, m.servers, m.suspended, m.limited, m.heldOff, m.slowStart, m.hedges, m.limitedSends, m.notices, m.gateways, m.ownershipRows, m.drainedZones, m.storeContactAge, m.dropped)
 	return m
 }
@@ -121,6 +125,11 @@
 // CountAttempt counts an attempt to send a request to a backend server, by its outcome.
 func (m *Metrics) CountAttempt(outcome string) { m.sends.WithLabelValues(outcome).Inc() }
 
+// CountReplacedResponse counts a response of a backend server in whose place the gateway returned one of its own.
+func (m *Metrics) CountReplacedResponse(status int) {
+	m.replaced.WithLabelValues(strconv.Itoa(status)).Inc()
+}
+
 // CountRetry counts a request for a retry, by whether the retry budget granted it.
 func (m *Metrics) CountRetry(granted bool) {
 	if granted {
--- a/internal/observe/metrics_test.go
+++ b/internal/observe/metrics_test.go
@@ -19,6 +19,7 @@
 	m.CountRefusal("servers full")
 	m.CountNotice("leaving")
 	m.CountAttempt("answer")
+	m.CountReplacedResponse(503)
 	m.CountRetry(true)
 	m.CountHedge("sent")
 	m.CountOrder("grant", nil)
--- a/internal/outcome/problem.go
+++ b/internal/outcome/problem.go
@@ -40,6 +40,7 @@
 	KindTimeout          Kind = "timeout"
 	KindCanceled         Kind = "canceled"
 	KindBadResponse      Kind = "bad-answer"
+	KindFailed           Kind = "backend-failed"
 	KindRepeated         Kind = "repeated-request"
 	KindIdentityTooOld   Kind = "request-identity-too-old"
 	KindInternal         Kind = "internal"
@@ -75,6 +76,19 @@
 	Outcome string `json:"outcome"`
 }
 
+// Document returns the problem document.
+func (p *Problem) Document() []byte {
+	// Encoding a struct of strings and numbers does not fail.
+	encoded, _ := json.Marshal(document{
+		Type:    problemTypePrefix + string(p.Kind),
+		Title:   http.StatusText(p.Status),
+		Status:  p.Status,
+		Detail:  p.Detail,
+		Outcome: p.Outcome.String(),
+	})
+	return append(encoded, '\n')
+}
+
 // Write sends the problem document to w.
 func (p *Problem) Write(w http.ResponseWriter) {
 	h := w.Header()
@@ -85,13 +99,7 @@
 	}
 	w.WriteHeader(p.Status)
 	// The status line is already sent; a write error only means that the client has disconnected.
-	_ = json.NewEncoder(w).Encode(document{
-		Type:    problemTypePrefix + string(p.Kind),
-		Title:   http.StatusText(p.Status),
-		Status:  p.Status,
-		Detail:  p.Detail,
-		Outcome: p.Outcome.String(),
-	})
+	_, _ = w.Write(p.Document())
 }
 
 func retryAfterSeconds(d time.Duration) int {
