platform, entry: take only Not-Executed for the statement

Callers saw (TWICE, REFUSED): an order that a backend server had run and answered with 421, without Not-Executed, was sent to the next server, and then answered 503, which promises that it has not run.

Cause: the adapter took each 421 for the statement that the request has not run. PROTOCOL.md: "A response that has Not-Executed states that the upstream did not run the request (503 [...], 429, 421, 400 without an id). No other response states this".

Fix: the field alone counts. A 421 without it is a failed attempt; what it says of the owner of the key is still learned, and the server isn't blamed for it.

--- a/internal/entry/attemptresult.go
+++ b/internal/entry/attemptresult.go
@@ -58,8 +58,8 @@
 	}
 }
 
-// serverOutcome returns what the result implies about the backend server. excused is set if a refusal does not: the server is
-// not the owner of the key, or holds requests off. hadTime is set if the time limit of the attempt was at least the expected
+// serverOutcome returns what the result implies about the backend server. excused is set if a failure or a refusal does not: the server
+// is not the owner of the key, or holds requests off. hadTime is set if the time limit of the attempt was at least the expected
 // response time.
 func (r attemptResult) serverOutcome(excused, hadTime bool) suspicion.Outcome {
 	switch r {
@@ -75,6 +75,9 @@
 	case resultUnknown:
 		return suspicion.ConnectionLost
 	case resultFailed:
+		if excused {
+			return suspicion.OK
+		}
 		return suspicion.Failed
 	case resultNotExecuted:
 		if excused {
--- a/internal/entry/forwarder.go
+++ b/internal/entry/forwarder.go
@@ -177,7 +177,8 @@
 	}
 	dispatchResult.RunTimeValid = r == resultResponse
 	if !disconnected {
-		dispatchResult.Outcome = r.serverOutcome(misdirected || dispatchResult.Statement.HoldOff > 0, limit >= reservation.Expected)
+		excused := misdirected || r == resultNotExecuted && dispatchResult.Statement.HoldOff > 0
+		dispatchResult.Outcome = r.serverOutcome(excused, limit >= reservation.Expected)
 	}
 	f.handler.Dispatcher.Done(reservation, dispatchResult)
 	if r == resultNotSent {
