--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -35,18 +35,6 @@
 	}
 }
 
-// finalProblem returns the problem to report after the last attempt. If an earlier attempt may have been executed, the
-// outcome is unknown even if the last attempt was not executed.
-func finalProblem(p *outcome.Problem, mayHaveExecuted bool) *outcome.Problem {
-	if p.Outcome != outcome.NotExecuted || !mayHaveExecuted {
-		return p
-	}
-	unknown := *p
-	unknown.Outcome = outcome.Unknown
-	unknown.Detail = "an earlier attempt may have run, and the last one was refused: " + p.Detail
-	return &unknown
-}
-
 // attempt selects a target and sends the request to it once.
 func (g *Gateway) attempt(ctx context.Context, table *RoutingTable, c *call) (*backend.Response, *outcome.Problem) {
 	t, problem := g.selectTarget(table, c)
@@ -56,6 +44,9 @@
 	}
 	start := time.Now()
 	response, problem := g.send(ctx, table, c, t)
+	if problem == nil {
+		response, problem = checkPromise(response)
+	}
 	g.reportAttempt(c, time.Since(start), problem)
 	if problem != nil && !c.route.Keyed {
 		c.failedServers = append(c.failedServers, t.server)
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -64,6 +64,7 @@
 	outcome.KindConnect:        Resend,
 	outcome.KindConnectionLost: Resend,
 	outcome.KindBadResponse:    Resend,
+	outcome.KindFailed:         Resend,
 	outcome.KindTimeout:        Resend,
 }
 
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -20,7 +20,7 @@
 		outcome.KindNoServer: Reroute, outcome.KindHopLimit: Reroute, outcome.KindNoConfig: Reroute,
 		outcome.KindShed: Resend, outcome.KindStaleGrant: Resend, outcome.KindDraining: Resend,
 		outcome.KindConnect: Resend, outcome.KindConnectionLost: Resend, outcome.KindTimeout: Resend,
-		outcome.KindBadResponse: Resend,
+		outcome.KindBadResponse: Resend, outcome.KindFailed: Resend,
 	}
 	for kind, decision := range kinds {
 		for _, executed := range []outcome.Outcome{outcome.NotExecuted, outcome.Unknown, outcome.Executed} {
