soak: servers that reject uploads early, and that fail with any status

Gateways hold 16 KB, 1 MB or 2 MB of a body, so that the held part is at times still being written when the rejection comes.

--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -29,11 +29,14 @@
 	singlePath     = "/single/"
 	singleInterval = 6
 	// One in uploadInterval requests that must be executed at most once has a long body, of up to maxUploadBytes. One in
-	// longUploadInterval of these has longUploadBytes.
+	// longUploadInterval of these has longUploadBytes, and one has mediumUploadBytes.
 	uploadInterval     = 8
 	maxUploadBytes     = 90_000
 	longUploadInterval = 8
 	longUploadBytes    = 8 << 20
+	mediumUploadBytes  = 3 << 20
+	// chunkedBytes is the length of a body from which on it may be sent in chunks.
+	chunkedBytes = 1 << 10
 )
 
 // counts is the number of requests of all clients by outcome.
@@ -122,7 +125,7 @@
 			path = singlePath
 		}
 		c.checker.RecordRequest(id, gateway.name, atMostOnce, int64(len(body)))
-		request, err := http.NewRequest(http.MethodPost, baseURL+path, strings.NewReader(body))
+		request, err := http.NewRequest(http.MethodPost, baseURL+path, c.bodyReader(body))
 		if err != nil {
 			return nil, "", err
 		}
@@ -143,13 +146,26 @@
 
 // uploadBytes returns the length of the body of a request beyond its beginning.
 func (c *client) uploadBytes() int {
-	switch {
-	case c.random.IntN(uploadInterval) != 0:
+	if c.random.IntN(uploadInterval) != 0 {
 		return 0
-	case c.random.IntN(longUploadInterval) != 0:
+	}
+	switch c.random.IntN(longUploadInterval) {
+	case 0:
+		return longUploadBytes
+	case 1:
+		return mediumUploadBytes
+	default:
 		return c.random.IntN(maxUploadBytes)
 	}
-	return longUploadBytes
+}
+
+// bodyReader returns a reader of a body. A long one is sent in chunks half of the time: http.Request does not learn its length.
+func (c *client) bodyReader(body string) io.Reader {
+	reader := strings.NewReader(body)
+	if len(body) < chunkedBytes || c.random.IntN(2) == 0 {
+		return reader
+	}
+	return struct{ io.Reader }{reader}
 }
 
 func (c *client) setHeaders(request *http.Request, id string) {
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -30,6 +30,10 @@
 	longRunTime      = 4400 * time.Millisecond
 )
 
+// bodyBuffersKB are the lengths in KB up to which the gateways hold bodies: some uploads are held whole, and of others the held part
+// is still being written, or has been, when their server rejects them.
+var bodyBuffersKB = [gatewayCount]int{16, 1024, 2048}
+
 // deployment is the system under test. The gateways are separate processes; the store and the backend servers run in
 // the current process.
 type deployment struct {
@@ -147,7 +151,7 @@
 		return err
 	}
 	d.cleanups = append(d.cleanups, proxy.Close)
-	g, err := newGateway(directory, program, fmt.Sprintf("gateway-%d", index), zoneName(index), proxy)
+	g, err := newGateway(directory, program, fmt.Sprintf("gateway-%d", index), zoneName(index), bodyBuffersKB[index], proxy)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -81,6 +81,8 @@
 		{"server answers requests without end", serverID, func() error { return answerEndlessly(b.options.Answers.AnswerRequests, form, duration) }},
 		{"server sends malformed answers", serverID, func() error { return answerWrongly(b.options.Answers.AnswerMalformed, duration) }},
 		{"server cuts off answers to uploads", uploads.options.ID, func() error { return answerWrongly(uploads.options.Answers.CutUploads, duration) }},
+		{"servers reject uploads early", wholeDeployment, func() error { return answerWrongly(d.rejectUploads, duration) }},
+		{"server fails requests with any status", serverID, func() error { return answerWrongly(b.options.Answers.Fail, duration) }},
 		{"server restarted, late entry", serverID, func() error { return d.restartWithLateEntry(b, restartDelay, lateness) }},
 		{"store restored", wholeDeployment, func() error { return d.restoreStore(duration/awayShare, age) }},
 		{"server restarted", serverID, func() error { return b.restart(restartDelay) }},
--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -33,7 +33,7 @@
 zone = %s
 address = 127.0.0.1
 memory_mb = 256
-body_buffer_kb = 16
+body_buffer_kb = %d
 cores = 1
 [listen]
 callers = %s
@@ -54,7 +54,7 @@
 const stopGrace = 6 * time.Second
 
 // newGateway writes the settings file of a gateway. It does not start the process.
-func newGateway(directory, program, name, zone string, storeProxy *Proxy) (*gateway, error) {
+func newGateway(directory, program, name, zone string, bodyBufferKB int, storeProxy *Proxy) (*gateway, error) {
 	var ports [3]string
 	for i := range ports {
 		port, err := standin.FreePort()
@@ -71,7 +71,7 @@
 		clientAddr:   "127.0.0.1:" + ports[0],
 		storeProxy:   storeProxy,
 	}
-	text := fmt.Sprintf(settingsFormat, name, zone, g.clientAddr, "127.0.0.1:"+ports[1], ports[2], ports[2], storeProxy.Addr())
+	text := fmt.Sprintf(settingsFormat, name, zone, bodyBufferKB, g.clientAddr, "127.0.0.1:"+ports[1], ports[2], ports[2], storeProxy.Addr())
 	return g, errors.Wrap(os.WriteFile(g.settingsPath, []byte(text), 0o600), "write the gateway settings")
 }
 
