ownership: fence former holders with new tokens after each election

Fault: a former holder that an elected gateway was fencing could hold its keys for 0.2 s once more, beside their next owner, after the next election.

Cause: the next elected gateway sent its fencing grant with the recorded token, which the first fencing grant had too. A server refuses lower tokens only, so that one, held back by the network, was accepted after the second one.

TestNextAssignerFencesWith- HigherToken failed before.

Fix: at each take-over the former holders that are still to be fenced get new tokens, which are recorded before they are used, below that of the owner.

--- a/internal/ownership/heldback_test.go
+++ b/internal/ownership/heldback_test.go
@@ -26,3 +26,25 @@
 		t.Error("keys are not granted after it has expired")
 	}
 }
+
+// Guards against a fencing grant that does not fence: with the token of a fencing grant of the earlier assigner, its holder would
+// accept that one too if the network has held it back.
+func TestNextAssignerFencesWithHigherToken(t *testing.T) {
+	former, next := Holder{ID: "former", Addr: "1"}, Holder{ID: "next", Addr: "2"}
+	settings := historySettings
+	settings.Host = "a"
+	table := record(t, assignerOf(t, settings, former), 0)
+	settings.Host = "b"
+	second := NewAssignerFromTable(settings, table, 0)
+	second.Apply([]Move{{Keys: allKeys, To: next}}, 0)
+	table = record(t, second, 0)
+	settings.Host = "c"
+	third := NewAssignerFromTable(settings, table, 0)
+	before, after := second.rows[0].formerGrants[0], third.rows[0].formerGrants[0]
+	if !after.unfenced || after.token <= before.token {
+		t.Errorf("former grant %+v, want it to be fenced with a token above %d", after, before.token)
+	}
+	if owner := third.rows[0].token; owner <= after.token {
+		t.Errorf("the next owner gets token %d after a fencing grant with %d", owner, after.token)
+	}
+}
--- a/internal/ownership/takeover.go
+++ b/internal/ownership/takeover.go
@@ -9,6 +9,7 @@
 	deadlines := a.takeOverHosts(table, now)
 	for _, row := range table.Rows {
 		state := deadlines.takeOverRow(row, settings, now)
+		a.renewFenceTokens(state)
 		state.token = a.newToken()
 		a.markChanged(state)
 		a.rows = append(a.rows, state)
@@ -18,6 +19,16 @@
 	return a
 }
 
+// renewFenceTokens gives new tokens to the former grants that are still to be fenced: a fencing grant of the earlier assigner may
+// still arrive, and one with the same token would not make its holder refuse it.
+func (a *Assigner) renewFenceTokens(r *rowState) {
+	for _, g := range r.formerGrants {
+		if g.unfenced {
+			g.token = a.newToken()
+		}
+	}
+}
+
 // takeoverDeadlines are the times at which the last grants of earlier assigners expire. An earlier assigner acts only on
 // the tables that it has recorded: for a while it may still renew the grants of owners, but not those of former holders.
 type takeoverDeadlines struct {
