--- a/internal/entry/forwarder.go
+++ b/internal/entry/forwarder.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/sapphireplank/sapphireplank/internal/dispatch"
 	"github.com/sapphireplank/sapphireplank/internal/exchange"
 	"github.com/sapphireplank/sapphireplank/internal/routing"
 	"github.com/sapphireplank/sapphireplank/internal/serverconn"
-	"github.com/sapphireplank/sapphireplank/internal/serverstate"
 )
 
 const (
@@ -153,57 +151,6 @@
 	return request
 }
 
-// report releases the reservation and records the result of the attempt, including what it implies about the backend
-// server.
-func (f *forwarder) report(
-	reservation *dispatch.Reservation, limit time.Duration, err error, started time.Duration, disconnected bool,
-) {
-	r := f.lastResult
-	dispatchResult := dispatch.Result{NotSent: r == resultNotSent}
-	misdirected := false
-	if f.last != nil {
-		f.usedConns = append(f.usedConns, f.last.Conn)
-		metadata := f.last.Metadata
-		dispatchResult.Load, dispatchResult.HasLoad = metadata.Load, metadata.HasLoad
-		misdirected = f.last.Status == http.StatusMisdirectedRequest
-		dispatchResult.ServerReplaced = misdirected && metadata.Instance != "" && metadata.Instance != reservation.Server.ID
-		dispatchResult.Responded = !dispatchResult.ServerReplaced
-		dispatchResult.RateLimit, dispatchResult.HasRateLimit = metadata.RateLimit, metadata.HasRateLimit
-		if metadata.ID != "" && metadata.ID == f.metadata.ID && !dispatchResult.ServerReplaced {
-			dispatchResult.Statement = serverstate.Statement{
-				Leaving: metadata.Leaving, HoldOff: metadata.HoldOff, InvalidHoldOff: metadata.InvalidHoldOff,
-			}
-		}
-	}
-	dispatchResult.RunTimeValid = r == resultResponse
-	if !disconnected {
-		excused := misdirected || r == resultNotExecuted && dispatchResult.Statement.HoldOff > 0
-		dispatchResult.Outcome = r.serverOutcome(excused, limit >= reservation.Expected)
-	}
-	f.handler.Dispatcher.Done(reservation, dispatchResult)
-	if r == resultNotSent {
-		f.unsent++
-	} else {
-		f.sends++
-		f.acquireRequest.Tried = append(f.acquireRequest.Tried, reservation.Server.Incarnation())
-	}
-	if r != resultNotSent && r != resultNotExecuted {
-		f.mayHaveExecuted = true
-	}
-	if misdirected {
-		f.acquireRequest.StaleToken = reservation.Token
-		f.acquireRequest.RetryAt = f.handler.Clock() + staleOwnerDelay
-		if f.acquireRequest.HasKey && f.handler.OnOwnerRejection != nil {
-			f.handler.OnOwnerRejection(f.acquireRequest.Service, f.acquireRequest.Key, reservation.Server.ID)
-		}
-	}
-	f.handler.Metrics.CountAttempt(r.String())
-	f.record(decision{
-		message: decisionSent, reservation: reservation, result: r, response: f.last, err: err,
-		duration: f.handler.Clock() - started,
-	})
-}
-
 // responseOrRetry returns the response to the client, or nil if the request is to be sent again.
 func (f *forwarder) responseOrRetry() *response {
 	switch f.lastResult {
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sapphireplank/sapphireplank/internal/outcome"
 	"github.com/sapphireplank/sapphireplank/platform"
 )
 
@@ -103,7 +104,7 @@
 	case response.StatusCode == http.StatusOK:
 		total.served.Add(1)
 		checker.CheckResponse(id, response.Header.Get(platform.HeaderRequestID), response.Header.Get(platform.HeaderSignature), body)
-	case isRefusal(response.StatusCode):
+	case outcome.PromisesNotExecuted(response.StatusCode):
 		total.refused.Add(1)
 		checker.RecordRefusal(id)
 	default:
--- a/internal/soak/cutoff.go
+++ b/internal/soak/cutoff.go
@@ -1,9 +1,9 @@
 package soak
 
 import (
-	"net/http"
 	"time"
 
+	"github.com/sapphireplank/sapphireplank/internal/outcome"
 	"github.com/sapphireplank/sapphireplank/platform/standin"
 )
 
@@ -71,7 +71,7 @@
 func (c *Checker) RecordNoAnswer(request string, sentAt time.Time, status int, behind bool, deadline time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if isRefusal(status) {
+	if outcome.PromisesNotExecuted(status) {
 		return
 	}
 	gateway := c.gateways[request]
@@ -98,12 +98,3 @@
 	defer c.mu.Unlock()
 	c.abandoned[execution.Request] = time.Now()
 }
-
-// isRefusal reports whether a status promises that the request has not been executed and will not be.
-func isRefusal(status int) bool {
-	switch status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return true
-	}
-	return false
-}
