entry: limit writes to a client by its progress

The requests had run.

Cause: one write deadline for the whole response. Besides, a connection on which a response is being written counted as idle at a stop, which ended its reading side.

Fix: the limit of 5 s starts anew with each progress. A client that reads on has until its deadline, or 5 s if that is later. The body is written from where it is held (net.Buffers) and no longer copied behind its head, so a slow reader holds it once. Writes of a connection exclude each other, as a response may now take several.

--- a/internal/entry/clientconn.go
+++ b/internal/entry/clientconn.go
@@ -14,8 +14,8 @@
 	maxPending = 64
 	// idleMargin is how much longer a connection is kept open than the idle timeout that clients are told.
 	idleMargin = 2 * time.Second
-	// writeTimeout limits how long writing a response to a client may take.
-	writeTimeout    = 5 * time.Second
+	// writeStall is how long a client may take nothing of a response that is being written.
+	writeStall      = 5 * time.Second
 	readBufferBytes = 4 << 10
 )
 
@@ -29,6 +29,8 @@
 	pending chan *request
 	// behind are the requests that the writer has taken from pending ahead of time.
 	behind []*request
+	// writeMu is held while a response, or an interim one, is written.
+	writeMu sync.Mutex
 	// ctx is canceled when the client disconnects.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -37,8 +39,8 @@
 	mu sync.Mutex
 	// openRequests counts requests that have been read and are not answered yet.
 	openRequests int
-	// reading is set while a request is being read.
-	reading bool
+	// reading is set while a request is being read, and writing while a response is being written.
+	reading, writing bool
 	// lingerUntil is set once the last response has been written, or one could not be written: from then on, what the client
 	// sends is discarded until this time.
 	lingerUntil time.Time
@@ -172,20 +174,30 @@
 	return true
 }
 
-// endRequest removes a request from the count and reports whether the connection closes after its response.
+// endRequest removes a request, whose response is written next, from the count and reports whether the connection closes after
+// that.
 func (c *clientConn) endRequest(last bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.openRequests--
+	c.writing = true
 	if last || c.openRequests == 0 && c.server.draining.Load() {
 		c.closing = true
 	}
 	return c.closing && c.openRequests == 0
 }
 
-// awaitsResponse reports whether the client waits for a response that can still be written.
+// endResponse records that the response to a request has been written, or is not written.
+func (c *clientConn) endResponse(r *request) {
+	r.memory.Release()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+}
+
+// awaitsResponse reports whether the client waits for a response that can still be written, or reads one.
 func (c *clientConn) awaitsResponse() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.openRequests > 0 && c.lingerUntil.IsZero()
+	return (c.openRequests > 0 || c.writing) && c.lingerUntil.IsZero()
 }
--- a/internal/entry/forwarder.go
+++ b/internal/entry/forwarder.go
@@ -62,6 +62,7 @@
 func (f *forwarder) run(ctx context.Context) *response {
 	f.record(decision{message: decisionRouted})
 	resp := f.truthful(f.respond(ctx))
+	resp.deadline = time.Now().Add(f.timeLeft())
 	f.finish(resp)
 	return resp
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -78,6 +78,7 @@
 
 		memory:        bytebudget.New(options.BodyMemoryBytes),
 		heldBodyBytes: min(options.HeldBodyBytes, options.BodyMemoryBytes),
+		writeStall:    writeStall,
 	}
 }
 
--- a/internal/entry/readrequest.go
+++ b/internal/entry/readrequest.go
@@ -34,8 +34,6 @@
 // bodyTimeout limits how long the body of a request may take to arrive.
 const bodyTimeout = 20 * time.Second
 
-var continueLine = []byte("HTTP/1.1 100 Continue\r\n\r\n")
-
 // readRequest reads one request. If the request cannot be read, it also returns an error response. Both results are nil
 // if the client disconnected while sending the request.
 func (c *clientConn) readRequest(limits connLimits) (*request, *response) {
@@ -54,7 +52,7 @@
 	}
 	if strings.EqualFold(parsed.Header.Get("Expect"), "100-continue") {
 		parsed.Header.Del("Expect")
-		if _, err := c.tcp.Write(continueLine); err != nil {
+		if err := c.writeContinue(); err != nil {
 			return nil, nil
 		}
 	}
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -14,6 +14,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// deadline is the deadline of the request. Until then the response is written as long as the client reads it.
+	deadline time.Time
 	// close requests that the connection be closed after the response.
 	close bool
 }
@@ -31,10 +33,10 @@
 	return r
 }
 
-// encode returns the response in its wire format. The response to a HEAD request has no body.
-func (r *response) encode(method string) []byte {
+// encode returns the response in its wire format, as its head and its body. The response to a HEAD request has no body.
+func (r *response) encode(method string) [][]byte {
 	var buffer bytes.Buffer
-	buffer.Grow(512 + len(r.body))
+	buffer.Grow(headBytes)
 	buffer.WriteString("HTTP/1.1 ")
 	buffer.WriteString(strconv.Itoa(r.status))
 	buffer.WriteByte(' ')
@@ -51,12 +53,15 @@
 		buffer.WriteString("Connection: close\r\n")
 	}
 	buffer.WriteString("\r\n")
-	if method != http.MethodHead && hasBody(r.status) {
-		buffer.Write(r.body)
+	if method == http.MethodHead || !hasBody(r.status) || len(r.body) == 0 {
+		return [][]byte{buffer.Bytes()}
 	}
-	return buffer.Bytes()
+	return [][]byte{buffer.Bytes(), r.body}
 }
 
+// headBytes is the length of most heads of responses.
+const headBytes = 512
+
 // hasBody reports whether responses with this status have a body.
 func hasBody(status int) bool {
 	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -26,6 +26,8 @@
 	// memory bounds the bodies in flight. Of the body of a request, heldBodyBytes are held before it is forwarded.
 	memory        *bytebudget.Budget
 	heldBodyBytes int64
+	// writeStall is how long a client may take nothing of a response.
+	writeStall time.Duration
 
 	// finishing is closed shortly before the process ends.
 	finishing  chan struct{}
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net"
 	"time"
 )
 
@@ -12,12 +13,12 @@
 		c.server.inFlight.Add(-1)
 		closes := c.endRequest(resp.close || r.closeAfter)
 		if failed || resp.status == statusClientGone {
-			r.memory.Release()
+			c.endResponse(r)
 			continue
 		}
 		resp.close = closes
 		err := c.writeResponse(r, resp)
-		r.memory.Release()
+		c.endResponse(r)
 		if err != nil {
 			failed = true
 			c.cancel()
@@ -40,10 +41,44 @@
 	return r
 }
 
+// writeResponse writes a response. A client that reads on has until the deadline of its request, and longer only if the response is
+// late. One that does not read is given up after Server.writeStall.
 func (c *clientConn) writeResponse(r *request, resp *response) error {
-	if err := c.tcp.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	rest := net.Buffers(resp.encode(r.http.Method))
+	end := laterOf(time.Now().Add(c.server.writeStall), resp.deadline)
+	for {
+		limit := time.Now().Add(c.server.writeStall)
+		if limit.After(end) {
+			limit = end
+		}
+		if err := c.tcp.SetWriteDeadline(limit); err != nil {
+			return err
+		}
+		written, err := rest.WriteTo(c.tcp)
+		if err == nil {
+			return nil
+		}
+		if !isTimeout(err) || written == 0 || !time.Now().Before(end) {
+			return err
+		}
 	}
-	_, err := c.tcp.Write(resp.encode(r.http.Method))
+}
+
+var continueLine = []byte("HTTP/1.1 100 Continue\r\n\r\n")
+
+// writeContinue tells the client to send the body of its request.
+func (c *clientConn) writeContinue() error {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	_, err := c.tcp.Write(continueLine)
 	return err
 }
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
