entry: set the write limit anew for 100 Continue

Clients saw: a connection that ended at a request with Expect: 100-continue, if the last response on it had been written 5 s before or earlier.

Cause: the write deadline of that response still held when the interim response was written.

Evidence: TestContinueAfterPause failed before (EOF in place of the line).

Fix: the write has a limit of its own.

--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -72,6 +72,9 @@
 func (c *clientConn) writeContinue() error {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
+	if err := c.tcp.SetWriteDeadline(time.Now().Add(c.server.writeStall)); err != nil {
+		return err
+	}
 	_, err := c.tcp.Write(continueLine)
 	return err
 }
--- a/internal/entry/writer_test.go
+++ b/internal/entry/writer_test.go
@@ -117,3 +117,26 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against a connection that ends at a request with Expect: 100-continue because the time limit of the response before still
+// holds.
+func TestContinueAfterPause(t *testing.T) {
+	f := newFixture(t, newBackend(t, func(w http.ResponseWriter, _ *http.Request) { signed(w, 200, "ok") }))
+	f.server.writeStall = testStall
+	conn := f.dial(t)
+	conn.send("POST", "/order/x", "a")
+	conn.receive()
+	time.Sleep(2 * testStall)
+	fmt.Fprint(conn.conn, "POST /order/x HTTP/1.1\r\nHost: h\r\nId: b\r\nPatience: 60s\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	line, err := conn.reader.ReadString('\n')
+	if err != nil || !strings.Contains(line, "100") {
+		t.Fatalf("line %q, error %v", line, err)
+	}
+	io.WriteString(conn.conn, "{}")
+	if _, err := conn.reader.ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	if response, body := conn.receive(); response.StatusCode != 200 || body != "ok" {
+		t.Errorf("status %d, body %q", response.StatusCode, body)
+	}
+}
