--- a/internal/entry/promise_test.go
+++ b/internal/entry/promise_test.go
@@ -19,8 +19,8 @@
 	notExecuted bool
 }
 
-// first are the answers to the first attempt. The second one gets the answer of the case.
-var first = map[string]*answer{
+// earlierAnswers are the answers to the first attempt, if there are two. The last one gets the answer of the case.
+var earlierAnswers = map[string]*answer{
 	"only attempt":      nil,
 	"after a refusal":   {status: http.StatusServiceUnavailable, notExecuted: true},
 	"after a failure":   {status: http.StatusServiceUnavailable},
@@ -35,7 +35,7 @@
 			continue
 		}
 		for _, notExecuted := range []bool{false, true} {
-			for name, before := range first {
+			for name, before := range earlierAnswers {
 				for _, path := range []string{"/order/", "/read/"} {
 					t.Run(fmt.Sprintf("%d not executed %v %s %s", status, notExecuted, name, path), func(t *testing.T) {
 						t.Parallel()
