--- a/internal/entry/bodystream.go
+++ b/internal/entry/bodystream.go
@@ -24,6 +24,7 @@
 	// ended is closed when no more is read: at the end of the body, after an error or when the stream is abandoned.
 	ended chan struct{}
 
+	// readers holds the reader of the attempt that may read the body.
 	readers readerSlot
 	// taken is the number of bytes that have been read.
 	taken atomic.Int64
--- a/internal/entry/closing.go
+++ b/internal/entry/closing.go
@@ -62,8 +62,8 @@
 	_ = c.tcp.SetReadDeadline(c.lingerUntil)
 }
 
-// closeIfIdle closes the connection if it has no open request, none is being read and no response is being written. A request whose first byte
-// arrives at the same time is still served. A connection that closes after its last response is left alone.
+// closeIfIdle closes the connection if it has no open request, none is being read and no response is being written. A request
+// whose first byte arrives at the same time is still served. A connection that closes after its last response is left alone.
 func (c *clientConn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
