soak: grants of a killed gateway that a cut has held back

A server with keys is cut off, its entry expires, and the elected gateway is killed 0.4 s later; what is under way to the server arrives when the cut ends.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync/atomic"
 	"time"
 
 	"github.com/sapphireplank/sapphireplank/platform/standin"
@@ -24,6 +25,7 @@
 	}
 	options.Advertise = proxy.Addr()
 	options.Rate, options.Notices, options.Answers = &standin.RateCheck{}, &standin.Notices{}, &standin.AnswerFaults{}
+	options.Silent = &atomic.Bool{}
 	b := &backend{options: options, proxy: proxy}
 	return b, b.start()
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -61,11 +61,15 @@
 	retryAfter := randomDuration(random, minRetryAfter, maxRetryAfter)
 	lateness := randomDuration(random, minLateness, maxLateness)
 	form := 1 + random.IntN(standin.EndlessForms)
+	elected := d.elected(random)
+	keyed := d.backends[random.IntN(keyedBackendCount)]
+	cut := randomDuration(random, minCut, maxCut)
 	uploads := d.backends[keyedBackendCount+random.IntN(onceBackendCount)]
 	return []fault{
 		d.gatewayFault("process paused", g, func() error { return d.pauseGateway(g, duration) }),
 		d.gatewayFault("process killed", g, func() error { return g.restart(syscall.SIGKILL, restartDelay) }),
 		d.gatewayFault("process terminated", g, func() error { return g.restart(syscall.SIGTERM, restartDelay) }),
+		d.gatewayFault("process killed, its orders held back", elected, func() error { return d.holdBackOrders(elected, keyed, cut, restartDelay) }),
 		d.gatewayFault("store connections stalled", g, func() error { return d.stall(g.storeProxy, duration) }),
 		d.gatewayFault("store connections reset", g, func() error { return d.disconnect(g.storeProxy, duration) }),
 		d.gatewayFault("store connections delayed", g, func() error { return d.delay(g.storeProxy, duration) }),
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -31,6 +31,8 @@
 	delay   time.Duration
 	// resetting is true while all connections are reset.
 	resetting bool
+	// keeping is true while data is kept whose sender resets its connection.
+	keeping bool
 }
 
 // NewProxy starts a proxy for a target address on a free port of the loopback interface.
@@ -67,6 +69,21 @@
 	}
 }
 
+// KeepAfterReset makes the proxy keep the data of connections that their senders reset while it is on, as a network does whose
+// resets are lost.
+func (p *Proxy) KeepAfterReset(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keeping = on
+}
+
+// keepsData reports whether data is kept whose sender has reset its connection.
+func (p *Proxy) keepsData() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.keeping
+}
+
 // SetDelay adds a latency to each write.
 func (p *Proxy) SetDelay(delay time.Duration) {
 	p.mu.Lock()
@@ -196,7 +213,7 @@
 		if err == nil {
 			continue
 		}
-		if !errors.Is(err, io.EOF) || from.writer.SawReset() {
+		if (!errors.Is(err, io.EOF) || from.writer.SawReset()) && !p.keepsData() {
 			// The sender has reset the connection, so the buffered data is discarded.
 			close(senderReset)
 			reset(to.TCPConn)
