--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -9,5 +9,5 @@
 ./out/plank-soak --program out/plank-entry --seed 46 --length 4s --faults 'answers to uploads'
 ./out/plank-soak --program out/plank-entry --seed 53 --length 5s --faults 'reject uploads'
 ./out/plank-soak --program out/plank-entry --seed 50 --length 4s --faults 'any status'
-./out/plank-soak --program out/plank-entry --seed 70 --length 6s --faults 'held back'
+./out/plank-soak --program out/plank-entry --seed 70 --length 10s --faults 'held back'
 echo "soak: 7 runs passed"
