ownership: compute the longest hold of grants in one place

The hold of a fencing grant repeated the formula of maxHold with another duration; both call longestHold now. No change of behaviour. gofmt, vet, staticcheck, and the tests of ownership and entrynode pass; a run of ownership, entrynode and controller with the race detector was ended by its limit of 120 s before it had printed a result.

--- a/internal/ownership/settings.go
+++ b/internal/ownership/settings.go
@@ -28,7 +28,12 @@
 
 // maxHold returns how long, by an accurate clock, a backend server may keep a grant after its arrival.
 func (s Settings) maxHold() time.Duration {
-	return s.GrantDuration + time.Duration(float64(s.GrantDuration)*maxClockDrift) + timerMargin
+	return longestHold(s.GrantDuration)
+}
+
+// longestHold returns how long, by an accurate clock, a backend server may keep a grant of some duration after its arrival.
+func longestHold(duration time.Duration) time.Duration {
+	return duration + time.Duration(float64(duration)*maxClockDrift) + timerMargin
 }
 
 // fenceDuration is the duration of a fencing grant, which only serves to make a former holder refuse earlier grants.
@@ -36,12 +41,7 @@
 
 // maxFenceDuration returns the maximum time from sending a fencing grant until it expires.
 func (s Settings) maxFenceDuration() time.Duration {
-	return s.OrderTimeout + s.maxFenceHold()
-}
-
-// maxFenceHold returns how long, by an accurate clock, a backend server may keep a fencing grant after its arrival.
-func (s Settings) maxFenceHold() time.Duration {
-	return fenceDuration + time.Duration(float64(fenceDuration)*maxClockDrift) + timerMargin
+	return s.OrderTimeout + longestHold(fenceDuration)
 }
 
 // timerMargin allows for the granularity of timers on both sides.
--- a/internal/ownership/takeover.go
+++ b/internal/ownership/takeover.go
@@ -75,7 +75,7 @@
 		return former.grant(now, d.fenced)
 	}
 	g := former.grant(now, d.unfenced)
-	lastFence := now + settings.OrderLifetime + settings.maxFenceHold()
+	lastFence := now + settings.OrderLifetime + longestHold(fenceDuration)
 	g.heldUntil, g.unconfirmedUntil = max(g.heldUntil, lastFence), max(g.unconfirmedUntil, lastFence)
 	return g
 }
